--- a/pepperfront/__init__.py
+++ /dev/null
@@ -1,7 +0,0 @@
-"""pepperfront: the decisions of a client-side router for fleets of cache servers."""
-
-from .brain import Balancer
-from .interface import Settings
-
-__all__ = ["Balancer", "Settings", "__version__"]
-__version__ = "0.1.0"
--- a/pepperfront/brain.py
+++ b/starlingthread/policy.py
@@ -1,4 +1,4 @@
-"""All decisions of one balancer. The types it takes and gives are in pepperfront/interface.py.
+"""All decisions of one balancer. The types it takes and gives are in starlingthread/interface.py.
 
 Every read a cache serves goes to the server with the least (load + expected cost) / affinity; affinity is
 this balancer's own decayed count of the key there times idf, floored (docs/design.md). Times are ms.
--- a/pepperfront/drill.py
+++ b/starlingthread/simhost.py
@@ -1,28 +1,25 @@
 """The wire adapter: turns frames into the module's events and its actions into frames. No decisions here.
 
-Run as ``python -m pepperfront.drill``; standard output carries the wire only.
+Run as ``python -m starlingthread.simhost``; standard output carries the wire only.
 """
 
 from __future__ import annotations
 
 import gc
-import json
 import struct
 import sys
 from collections.abc import Callable
-from typing import Any, BinaryIO
+from typing import BinaryIO
 
 from . import interface as api
-from .brain import Balancer
+from .policy import Balancer
+from .settings import SettingsError, parse_settings
 
 BATCH = struct.Struct("<IIdI")
 REPLY = struct.Struct("<III")
 EVENT_SIZE = 48
 ACTION_SIZE = 24
 ENTRY = struct.Struct("<IBBHBfd")
-EFFECTS = {
-    "repeatable": api.Effect.REPEATABLE, "by_key": api.Effect.KEYED, "once": api.Effect.UNSAFE,
-}
 RESULTS: dict[int, api.Result] = {r.value: r for r in api.Result}
 NOTES: dict[int, api.Note] = {n.value: n for n in api.Note}
 STATES: dict[int, api.ServerState] = {s.value: s for s in api.ServerState}
@@ -44,58 +41,6 @@
     """The input is not what the wire page says."""
 
 
-def parse_settings(text: bytes) -> api.Settings:
-    """Turn the settings of a Start event into Settings."""
-    try:
-        raw = json.loads(text)
-    except ValueError as error:
-        raise WireError(f"settings are not valid JSON: {error}") from None
-    if not isinstance(raw, dict):
-        raise WireError("settings are not a JSON object")
-    try:
-        return _settings(raw).validated()
-    except KeyError as error:
-        raise WireError(f"settings lack {error}") from None
-    except (TypeError, ValueError, AttributeError) as error:
-        raise WireError(f"settings: {error}") from None
-
-
-def _settings(raw: dict[str, Any]) -> api.Settings:
-    classes = tuple(
-        api.RequestClass(
-            name=str(c.get("name", "")), effect=EFFECTS[c["effect"]],
-            aim=float(c["promiseMs"]), deadline=float(c["hardLimitMs"]),
-            worth=float(c.get("worth", 1.0)), late_worth=float(c.get("lateWorth", 0.0)),
-            group=c.get("group", "all"), memory_span=float(c.get("memorySpanMs", 0.0)),
-            streamed=bool(c.get("streamed", False)), aim_stretch=float(c.get("aimStretch", 0.0)))
-        for c in raw["grades"])
-    extra, may, prices = raw.get("extra", {}), raw["permissions"], raw.get("prices", {})
-    rules, report = raw["rules"], raw.get("report", {})
-    tenants = tuple(
-        api.Tenant(str(t.get("name", "")), float(t.get("quotaPerS", 0.0)), float(t.get("share", 1.0)))
-        for t in raw.get("tenants", ()))
-    return api.Settings(
-        classes=classes, me=int(raw.get("me", 0)), balancers=int(raw.get("groupSize", 1)),
-        zone=int(raw.get("zone", 0)), must_ask=raw.get("discovery") == "subscribe",
-        ask_within=float(rules.get("askWithinMs", 10000.0)), mode=extra.get("mode", "through"),
-        origin_kind=int(extra.get("originKind", -1)), tenants=tenants,
-        over_share_worth=float(raw.get("overShareWorth", 1.0)),
-        report_fields=tuple(report.get("fields", ())), report_how=report.get("how", "silent"),
-        can_cancel=bool(may.get("cancel", False)), can_probe=bool(may.get("probing", False)),
-        can_tell_peers=bool(may.get("peerMessages", False)),
-        second_copies=bool(may.get("mayDuplicate", False)), max_attempts=int(may.get("tryLimit", 3)),
-        max_open=int(may.get("maxOpen", 1000000)), max_retry_after=float(may.get("maxRetryAfterMs", 0.0)),
-        connect_timeout=float(may.get("connectTimeoutMs", 250.0)),
-        answer_slack=float(rules.get("answerSlackMs", 0.0)), drain_grace=float(rules["drainGraceMs"]),
-        cold_from=float(rules.get("coldFrom", 1.0)), cold_time=float(rules.get("coldMs", 0.0)),
-        overload_factor=float(rules.get("overloadFactor", 3.0)),
-        tip_after=float(rules.get("tipAfterMs", 2000.0)),
-        price_cross_zone=float(prices.get("crossZone", 0.0)), price_origin=float(prices.get("origin", 0.0)),
-        price_handshake=float(prices.get("handshake", 0.0)),
-        price_late_fail=float(prices.get("lateFail", 0.0)),
-        price_waste=float(prices.get("waste", 0.0)), worth_by_work=raw.get("worthBy") == "work")
-
-
 def _report(count: int, values: tuple[float, ...]) -> tuple[float, ...]:
     return values[:min(count, 4)]
 
@@ -226,7 +171,7 @@
 Maker = Callable[[api.Settings, int], Balancer]
 
 
-class Drill:
+class SimHost:
     """All instances that this process hosts; they share nothing but this table."""
 
     def __init__(self, maker: Maker = Balancer) -> None:
@@ -275,7 +220,7 @@
     return data
 
 
-def serve(stdin: BinaryIO, stdout: BinaryIO, drill: Drill) -> None:
+def serve(stdin: BinaryIO, stdout: BinaryIO, host: SimHost) -> None:
     """Answer batches until the input ends."""
     while head := _read(stdin, 4):
         if len(head) < 4:
@@ -284,7 +229,7 @@
         body = _read(stdin, size)
         if len(body) < size:
             raise WireError(f"the input ends inside a batch: {len(body)} of {size} bytes")
-        stdout.write(drill.answer(body))
+        stdout.write(host.answer(body))
         stdout.flush()
 
 
@@ -292,9 +237,9 @@
     """Serve standard input; 0 at a clean end, 1 with one line on standard error otherwise."""
     gc.freeze()
     try:
-        serve(sys.stdin.buffer, sys.stdout.buffer, Drill())
-    except WireError as error:
-        print(f"pepperfront: {error}", file=sys.stderr)
+        serve(sys.stdin.buffer, sys.stdout.buffer, SimHost())
+    except (WireError, SettingsError) as error:
+        print(f"starlingthread: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/tests/checker.py
+++ b/tests/checker.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from pepperfront.interface import (
+from starlingthread.interface import (
     NEVER_RAN, Action, Cancel, Effect, Event, Fail, ListKind, MemberList, Outcome, Refuse, Request, Send,
     ServerState, Settings, Withdrawn,
 )
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -8,24 +8,24 @@
 
 import pytest
 
-from pepperfront import Balancer
-from pepperfront.interface import Settings
+from starlingthread import Balancer
+from starlingthread.interface import Settings
 
 from .world import ASIDE, CLASSES, World
 
 ROOT = Path(__file__).parents[1]
-BRAIN = (ROOT / "pepperfront" / "brain.py").read_text()
+POLICY = (ROOT / "starlingthread" / "policy.py").read_text()
 
 
 def test_the_module_fits_the_on_call_folder() -> None:
-    assert len([line for line in BRAIN.splitlines() if line.strip()]) <= 650
-    for path in (*ROOT.glob("pepperfront/*.py"), *ROOT.glob("tests/*.py")):
+    assert len([line for line in POLICY.splitlines() if line.strip()]) <= 650
+    for path in (*ROOT.glob("starlingthread/*.py"), *ROOT.glob("tests/*.py")):
         assert max(map(len, path.read_text().splitlines()), default=0) <= 110, path
-    assert "pepperfront/interface.py" in "".join(BRAIN.splitlines()[:3])
+    assert "starlingthread/interface.py" in "".join(POLICY.splitlines()[:3])
 
 
 def test_the_module_keeps_no_state_and_no_clock_of_its_own() -> None:
-    tree = ast.parse(BRAIN)
+    tree = ast.parse(POLICY)
     imported = {n.module for n in ast.walk(tree) if isinstance(n, ast.ImportFrom)}
     imported |= {a.name for n in ast.walk(tree) if isinstance(n, ast.Import) for a in n.names}
     assert imported <= {"__future__", "math", "random", "collections", "heapq", "interface"}
--- a/tests/test_origin.py
+++ b/tests/test_origin.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from pepperfront.interface import Refuse, Result
+from starlingthread.interface import Refuse, Result
 
 from .world import ORIGIN, UNSAFE, World, answers, only_send, sends
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from pepperfront.interface import (
+from starlingthread.interface import (
     Fail, FirstByte, ListKind, Member, MemberList, Outcome, Refuse, Result, Send, ServerState, Settings,
     Withdrawn,
 )
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from pepperfront.interface import Result
+from starlingthread.interface import Result
 
 from .world import ASIDE, ORIGIN, World, answers, members, only_send, sends
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,8 +10,8 @@
 
 import pytest
 
-from pepperfront import Balancer, drill
-from pepperfront import interface as api
+from starlingthread import Balancer, simhost
+from starlingthread import interface as api
 
 
 def frame(text: str) -> bytes:
@@ -32,7 +32,7 @@
 
 
 def run(data: bytes) -> tuple[int, bytes, str]:
-    done = subprocess.run([sys.executable, "-m", "pepperfront.drill"], input=data, capture_output=True,
+    done = subprocess.run([sys.executable, "-m", "starlingthread.simhost"], input=data, capture_output=True,
                           timeout=30, check=False)
     return done.returncode, done.stdout, done.stderr.decode()
 
@@ -56,9 +56,9 @@
         return []
 
 
-def scripted(*instances: int) -> tuple[drill.Drill, dict[int, Scripted]]:
+def scripted(*instances: int) -> tuple[simhost.SimHost, dict[int, Scripted]]:
     """Return an adapter with some scripted instances."""
-    host = drill.Drill(Scripted)
+    host = simhost.SimHost(Scripted)
     for number in instances:
         host.answer(start(json.dumps(SETTINGS).encode(), number)[4:])
     return host, {n: b for n, b in host.instances.items() if isinstance(b, Scripted)}
@@ -112,13 +112,13 @@
     (api.FetchList(), "0c 0300"),
 ])
 def test_other_actions(action: api.Action, text: str) -> None:
-    reply = drill.Reply()
+    reply = simhost.Reply()
     reply.add(3, action)
     assert reply.frame(1)[12:] == frame(text).ljust(24, b"\0")
 
 
 def test_the_worked_message() -> None:
-    reply = drill.Reply()
+    reply = simhost.Reply()
     reply.add(3, api.Tell(None, b"hi 7"))
     assert reply.frame(1)[12:] == frame("08 0300 ffff 00000000 04000000" + "00" * 11 + "68692037")
 
@@ -152,7 +152,7 @@
         def handle(self, now: float, event: api.Event) -> list[api.Action]:
             raise RuntimeError("no idea")
 
-    host = drill.Drill(Broken)
+    host = simhost.SimHost(Broken)
     host.answer(start(GOOD)[4:])
     reply = host.answer(batch_of(frame("02 0300 4d")))
     assert reply[12] == 10 and b"RuntimeError: no idea" in reply
--- a/tests/world.py
+++ b/tests/world.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from pepperfront import Balancer
-from pepperfront.interface import (
+from starlingthread import Balancer
+from starlingthread.interface import (
     Action, Effect, Event, Fail, ListKind, Member, MemberList, Outcome, Refuse, Request, RequestClass, Result,
     Send, SetTimer, Settings, Timer,
 )
