Serve clients on sockets: the router around the module

The router as a program: the module's actor with its request table and one sorted list of deadlines, a pure parser for the meta commands, an actor per client, per cache server, for the list and for the peers. One attempt holds a connection to itself.

--- /dev/null
+++ b/starlingthread/__main__.py
@@ -0,0 +1,186 @@
+"""One real router: configuration, signals, wiring, exit summary. Run as ``python -m starlingthread``."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import logging
+import os
+import queue
+import signal
+import sys
+from logging.handlers import QueueHandler, QueueListener
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from . import interface as api
+from .core.actors import Clock, Watcher
+from .core.counters import Counters
+from .core.deadlines import Deadlines
+from .core.router import Router
+from .net.clients import Front
+from .net.peers import PeerActor
+from .net.registry import ListError, ListReader, RegistryActor, parse_address
+from .net.servers import ServerFleet
+from .settings import SettingsError, settings_of
+
+log = logging.getLogger("starlingthread")
+
+STILL_ACCEPTING = 0.5  # s after SIGTERM in which new connections are still welcome
+LAST_ANSWERS = 4.5  # s after that in which what was taken may be finished
+SERVER_SHARE = 0.4  # of the descriptors for connections to cache servers
+CLIENT_SHARE = 0.5  # of them for clients; the rest is for discovery, peers, files and connects under way
+
+
+class ConfigError(Exception):
+    """The configuration makes no sense."""
+
+
+class Config(NamedTuple):
+    """What this router is told."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    sockets: int
+    peer_listen: tuple[str, int] | None
+    peers: list[tuple[str, int]]
+    peers_all: tuple[str, int] | None
+    known: object
+    settings: api.Settings
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+    idle_close: float
+
+
+def read_config(path: str) -> Config:
+    """Read the configuration file, or raise a ConfigError with one plain line."""
+    try:
+        raw: dict[str, Any] = json.loads(Path(path).read_text())
+        settings = raw["settings"]
+        peer_listen, peers_all = raw.get("peer_listen"), raw.get("peers_all")
+        return Config(
+            str(raw.get("name", "")), parse_address(raw["listen"]), parse_address(raw["discovery"]),
+            int(raw.get("seed", "0"), 16), int(raw.get("limits", {}).get("sockets", 1024)),
+            parse_address(peer_listen) if peer_listen else None,
+            [parse_address(p) for p in raw.get("peers", ())],
+            parse_address(peers_all) if peers_all else None, raw.get("known"), settings_of(settings),
+            tuple(settings.get("zones", ())), tuple(settings.get("kinds", ())),
+            float(settings["permissions"].get("idleCloseMs", 15000.0)))
+    except KeyError as error:
+        raise ConfigError(f"{path} lacks {error}") from None
+    except (OSError, ValueError, TypeError, AttributeError, SettingsError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+
+
+class Program:
+    """Wires the actors together and ends them."""
+
+    def __init__(self, config: Config) -> None:
+        self.config, self.clock, self.deadlines = config, Clock(), Deadlines()
+        self.counters, self.watcher = Counters(), Watcher()
+        self.stop = asyncio.Event()
+        self.code = 0
+        self.router = Router(config.settings, config.seed, self.clock, self.deadlines, self.counters)
+        self.fleet = ServerFleet(
+            config.settings, self.router, self.clock, self.deadlines, self.counters, self.watcher,
+            int(config.sockets * SERVER_SHARE), config.idle_close)
+        self.registry = RegistryActor(
+            self.router, ListReader(config.zones, config.kinds), config.discovery, self.clock, self.deadlines,
+            self.counters, self.watcher)
+        self.peers = PeerActor(
+            self.router, self.counters, config.peers, config.peers_all, config.settings.me)
+        self.front = Front(
+            config.settings, self.router, self.clock, self.counters, self.watcher,
+            int(config.sockets * CLIENT_SHARE), self.ready)
+        self.router.fleet, self.router.registry, self.router.peers = self.fleet, self.registry, self.peers
+
+    def ready(self) -> bool:
+        """Tell whether clients may come: the module has a list to work with."""
+        return self.router.listed
+
+    def _fatal(self, error: BaseException) -> None:
+        self.code = 1
+        self.stop.set()
+
+    def _registry_died(self, error: BaseException) -> None:
+        self.registry._failed(repr(error))
+        self._run_registry()
+
+    def _run_registry(self) -> None:
+        self.watcher.start(self.registry.run(), "registry", self._registry_died)
+
+    def summary(self) -> None:
+        """Log the counters, and what is out right now."""
+        log.info("counters %s clients.open=%d connections.open=%d requests.open=%d", self.counters.text(),
+                 len(self.front.actors), sum(a.open for a in self.fleet.actors.values()),
+                 len(self.router.requests))
+
+    async def run(self) -> int:
+        """Serve until a signal, then finish what was taken."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop.set)
+        loop.add_signal_handler(signal.SIGUSR1, self.summary)
+        if self.config.known is not None:
+            self.registry.known(self.config.known)
+        self.router.begin()
+        self._run_registry()
+        self.watcher.start(self.router.run(), "router", self._fatal)
+        if self.config.peer_listen is not None:
+            await self.peers.listen(*self.config.peer_listen)
+        await self.front.listen(*self.config.listen)
+        log.info("started name=%s servers=%d", self.config.name, len(self.router.module.servers))
+        # What lives as long as the program is never looked at again, and garbage is collected in small bites:
+        # a full collection would hold up every answer.
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(20000, 50, 1000)
+        await self.stop.wait()
+        if self.code == 0:
+            log.info("stopping requests.open=%d", len(self.router.requests))
+            await asyncio.sleep(STILL_ACCEPTING)
+            try:
+                await asyncio.wait_for(self.front.drain(), LAST_ANSWERS)
+            except TimeoutError:
+                log.warning("stopped-late requests.open=%d", len(self.router.requests))
+        self.fleet.close()
+        self.peers.close()
+        await self.watcher.stop()
+        self.summary()
+        return self.code
+
+
+def main() -> int:
+    """Run the router; one plain line on standard error and 1 if it can't start."""
+    try:
+        config = read_config(os.environ.get("LB_CONFIG", ""))
+    except ConfigError as error:
+        print(f"starlingthread: {error}", file=sys.stderr)
+        return 1
+    # Log lines are written by a thread of their own: a full pipe must not hold up an answer.
+    lines: queue.SimpleQueue[object] = queue.SimpleQueue()
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(logging.Formatter("%(asctime)s %(levelname)s %(message)s"))
+    listener = QueueListener(lines, handler)
+    log.addHandler(QueueHandler(lines))
+    log.setLevel(logging.INFO)
+    log.propagate = False
+    listener.start()
+
+    async def serve() -> int:
+        return await Program(config).run()
+
+    try:
+        return asyncio.run(serve())
+    except (OSError, ListError) as error:
+        print(f"starlingthread: {error}", file=sys.stderr)
+        return 1
+    finally:
+        listener.stop()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/starlingthread/core/counters.py
@@ -0,0 +1,17 @@
+"""Counters of what the router takes in, sends and answers."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+
+class Counters(Counter[str]):
+    """Counts by name; a name starts with what it is about, so the printed list sorts by topic."""
+
+    def note(self, name: str, by: int = 1) -> None:
+        """Count something."""
+        self[name] += by
+
+    def text(self) -> str:
+        """Return all counts in one line."""
+        return " ".join(f"{name}={self[name]}" for name in sorted(self))
--- /dev/null
+++ b/starlingthread/net/__init__.py
@@ -0,0 +1,1 @@
+"""What touches sockets: clients, cache servers, discovery and the other routers."""
--- /dev/null
+++ b/starlingthread/net/clients.py
@@ -0,0 +1,202 @@
+"""Clients: one actor per connection, and the front that accepts them."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import logging
+from collections import deque
+from collections.abc import Callable
+
+from .. import interface as api
+from ..core.actors import Clock, Mailbox, Watcher
+from ..core.counters import Counters
+from ..core.router import Answer, Asked, Gone, Refused, Router, Served, Taken
+from . import meta
+
+log = logging.getLogger("starlingthread")
+
+READ = 65536
+MAX_PIPELINED = 16  # commands of one connection that may be without their answer; then it is not read
+MAX_UNSENT = 262144  # bytes that a slow reader may leave unsent before its actor waits for it
+ANSWER_EARLY = 4.0  # ms; d runs from the client's send, and the answer has to travel back as well
+IDLE_ROUNDS = 0.05  # s between looks at what is still open, at the end
+
+
+def key_number(key: bytes) -> int:
+    """Return a key as the module knows it: the same number at every router, never 0 (which means none)."""
+    return int.from_bytes(hashlib.blake2b(key, digest_size=8).digest(), "big") or 1
+
+
+class Slot:
+    """The place of one answer in the order of a connection."""
+
+    __slots__ = ("last", "parts", "request")
+
+    def __init__(self) -> None:
+        self.parts: tuple[bytes, ...] | None = None
+        self.request: Taken | None = None
+        self.last = False  # the connection is closed behind this answer
+
+
+class ClientActor:
+    """One client's connection. It reads on while requests are out, and answers in order."""
+
+    def __init__(self, front: Front, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.front, self.reader, self.writer = front, reader, writer
+        self.mailbox: Mailbox[tuple[Slot, tuple[bytes, ...]]] = Mailbox(4 * MAX_PIPELINED)
+        self.slots: deque[Slot] = deque()
+        self.by_request: dict[Taken, Slot] = {}
+        self.parser = meta.CommandParser()
+        self.ended = False  # the client has closed
+        self.closing = False  # we close once nothing is owed; what still comes until then is taken
+        self.lost = False  # nobody knows where its next command begins
+        self.room = asyncio.Event()
+        self.used_at = front.clock.now()
+
+    # reading
+
+    async def read(self) -> None:
+        """Take in what the client sends until it closes."""
+        try:
+            while not self.lost:
+                data = await self.reader.read(READ)
+                if not data:
+                    break
+                for item in self.parser.feed(data):
+                    # Guards memory against a client that sends on and on without reading its answers.
+                    while len(self.slots) >= MAX_PIPELINED:
+                        self.room.clear()
+                        await self.room.wait()
+                    self._take(item)
+        except OSError:
+            self.front.counters.note("clients.reset")
+        self.ended = not self.lost
+        self.mailbox.wake()
+
+    def _take(self, item: meta.Input) -> None:
+        slot, front = Slot(), self.front
+        self.slots.append(slot)
+        self.used_at = front.clock.now()
+        if isinstance(item, meta.Command):
+            cls = front.classes.get(item.fields.get("c", ""))
+            if cls is None:
+                front.counters.note("clients.unknown_class")
+                self._put(slot, b"CLIENT_ERROR unknown class\r\n")
+                return
+            size = item.fields.get("size", "")
+            request = Taken(
+                self, cls, key_number(item.key), self.used_at + item.wait - ANSWER_EARLY, item,
+                size=float(size) if meta.NUMBER.fullmatch(size) else 0.0,
+                is_retry=item.fields.get("r") == "1", is_write=item.is_write)
+            slot.request = request
+            self.by_request[request] = slot
+            if not front.router.mailbox.put(Asked(request)):
+                front.counters.note("requests.mailbox_full")
+                self.answer(request, Refused())
+        elif isinstance(item, meta.Bad):
+            front.counters.note("clients.malformed")
+            slot.last = self.lost = item.framing_lost
+            self._put(slot, item.line)
+        elif item is meta.Ask.READY:
+            self._put(slot, meta.READY_LINE if front.ready() else meta.STARTING_LINE)
+        else:
+            self._put(slot, meta.ERROR_LINE)
+
+    # answering
+
+    def answer(self, request: Taken, answer: Answer) -> None:
+        """Take a request's one final answer."""
+        slot = self.by_request.pop(request, None)
+        if slot is None:
+            return
+        request.over = True
+        if isinstance(answer, Served) and isinstance(answer.payload, meta.ServerAnswer):
+            self._put(slot, *answer.payload.text)
+        elif isinstance(answer, Refused):
+            self._put(slot, meta.busy_line(answer.retry_after))
+        else:
+            self._put(slot, meta.FAILED_LINE)
+
+    def _put(self, slot: Slot, *parts: bytes) -> None:
+        # A slot gets one message in its life, so there are never more of them than slots.
+        self.mailbox.must_put((slot, parts))
+
+    async def run(self) -> None:
+        """Write answers in order until the client has closed, or until we have and nothing is owed."""
+        reading = self.front.watcher.start(self.read(), "client-reader", lambda _: self._reader_died())
+        try:
+            while True:
+                for slot, parts in self.mailbox.take():
+                    slot.parts = parts
+                while self.slots and (ready := self.slots[0].parts) is not None:
+                    last = self.slots.popleft().last
+                    self.used_at = self.front.clock.now()
+                    self.writer.writelines(ready)
+                    self.room.set()
+                    if last:
+                        return
+                if self.ended or (self.closing and not self.slots):
+                    return
+                if self.writer.transport.get_write_buffer_size() > MAX_UNSENT:
+                    await self.writer.drain()
+                await self.mailbox.wait()
+        except OSError:
+            self.front.counters.note("clients.reset")
+        finally:
+            reading.cancel()
+            self.close()
+
+    def _reader_died(self) -> None:
+        self.ended = True
+        self.mailbox.wake()
+
+    def close(self) -> None:
+        """The one place where a client's connection is given back; what is still out is withdrawn."""
+        for request in list(self.by_request):
+            self.front.router.mailbox.must_put(Gone(request))
+        self.by_request.clear()
+        self.front.actors.discard(self)
+        self.writer.close()
+
+    def shut_when_idle(self) -> None:
+        """Close once nothing is owed."""
+        self.closing = True
+        self.mailbox.wake()
+
+
+class Front:
+    """Accepts clients and owns their actors."""
+
+    def __init__(self, settings: api.Settings, router: Router, clock: Clock, counters: Counters,
+                 watcher: Watcher, most: int, ready: Callable[[], bool]) -> None:
+        self.router, self.clock, self.counters, self.watcher = router, clock, counters, watcher
+        self.classes = {cls.name: number for number, cls in enumerate(settings.classes)}
+        self.most, self.ready = most, ready
+        self.actors: set[ClientActor] = set()
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, host: str, port: int) -> None:
+        """Begin to accept."""
+        self._server = await asyncio.start_server(self._accept, host, port, limit=READ, backlog=1024)
+
+    def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.counters.note("clients.accepted")
+        actor = ClientActor(self, reader, writer)
+        self.actors.add(actor)
+        if len(self.actors) > self.most:
+            # Guards the descriptor limit: the client quiet longest opens a new connection if need be.
+            quiet = [a for a in self.actors if not a.slots and not a.closing]
+            if quiet:
+                self.counters.note("clients.shed")
+                min(quiet, key=lambda a: a.used_at).shut_when_idle()
+        self.watcher.start(actor.run(), "client", lambda _: actor.close())
+
+    async def drain(self) -> None:
+        """Accept no more; close each connection once nothing is owed on it; return when all are closed."""
+        if self._server is not None:
+            self._server.close()
+        while self.actors:
+            for actor in list(self.actors):
+                actor.shut_when_idle()
+            await asyncio.sleep(IDLE_ROUNDS)
--- /dev/null
+++ b/starlingthread/net/meta.py
@@ -0,0 +1,294 @@
+"""The meta commands of the memcache text protocol: a pure parser and writer, no sockets.
+
+Parsers are fed whatever the socket gave, in any cuts, and give back what is whole. They never raise on what a
+peer sent: what makes no sense comes back as Bad (from a client) or as OTHER (from a server).
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator
+from enum import Enum
+from typing import NamedTuple, TypeAlias
+
+MAX_VALUE = 64 * 1024
+MAX_HEAD = 2048
+CRLF = b"\r\n"
+
+# One head in one match, with the places of its parts: they are read where they lie, and a head is written
+# out again as the bytes around the one figure that changes.
+HEAD = re.compile(rb"m(?:g ([!-~]{1,250}) v|s ([!-~]{1,250}) (\d{1,9}))((?: [!-~]+)*) *")
+SET_LENGTH = re.compile(rb"ms [!-~]+ (\d{1,9})(?: |$)")
+FLAG_ID = re.compile(rb" O([!-~]{1,64})(?= |$)")
+FLAG_LIST = re.compile(rb" P([!-~]+)(?= |$)")
+WAIT = re.compile(rb"(?:^|,)d=(\d{1,9}(?:\.\d{1,9})?)(?=,|$)")
+NUMBER = re.compile(r"\d{1,15}(?:\.\d{1,9})?")
+
+
+class Command(NamedTuple):
+    """A client's mg or ms, whole; value holds the bytes of an ms with their CRLF."""
+
+    head: bytes
+    key: bytes
+    id: bytes
+    wait: float
+    wait_at: tuple[int, int]  # where the figure of d stands in the head
+    fields: dict[str, str]  # the other names and values of the P list
+    value: bytes | None
+
+    @property
+    def is_write(self) -> bool:
+        """Whether it is an ms."""
+        return self.value is not None
+
+
+class Ask(Enum):
+    """A bare command."""
+
+    READY = "mn"
+    LOAD = "stats load"
+
+
+class Bad(NamedTuple):
+    """Something that is no command, and the line that answers it."""
+
+    line: bytes
+    framing_lost: bool
+
+
+Input: TypeAlias = Command | Ask | Bad
+
+
+def bad(why: str, framing_lost: bool = False) -> Bad:
+    """Return the answer to a malformed command."""
+    return Bad(b"CLIENT_ERROR " + why.encode() + CRLF, framing_lost)
+
+
+class _Lines:
+    """A buffer that is cut into lines and blocks; nothing is scanned twice."""
+
+    def __init__(self) -> None:
+        self.buffer = bytearray()
+        self.at = 0  # where the unread part begins
+        self._seen = 0  # up to where there is no line end
+
+    def add(self, data: bytes) -> None:
+        if self.at:
+            del self.buffer[:self.at]
+            self._seen = max(0, self._seen - self.at)
+            self.at = 0
+        self.buffer += data
+
+    def line(self) -> bytes | None:
+        """Return the next line without its CRLF; None if it is not whole yet."""
+        end = self.buffer.find(CRLF, max(self.at, self._seen))
+        if end < 0:
+            self._seen = max(self.at, len(self.buffer) - 1)
+            return None
+        line = bytes(self.buffer[self.at:end])
+        self.at = self._seen = end + 2
+        return line
+
+    def block(self, size: int) -> bytes | None:
+        """Return that many bytes, or None if they are not all there."""
+        if len(self.buffer) - self.at < size:
+            return None
+        data = bytes(self.buffer[self.at:self.at + size])
+        self.at += size
+        return data
+
+    def unread(self) -> int:
+        return len(self.buffer) - self.at
+
+
+def parse_head(head: bytes) -> Command | Bad:
+    """Parse the head of an mg or ms; the value is still to come."""
+    found = HEAD.fullmatch(head)
+    if not found:
+        return bad("bad command line format")
+    flags = found.start(4)
+    rid, listed = FLAG_ID.findall(head, flags), list(FLAG_LIST.finditer(head, flags))
+    if len(rid) != 1 or len(listed) != 1:
+        return bad("one O and one P are needed")
+    begin, text = listed[0].start(1), listed[0].group(1)
+    wait = list(WAIT.finditer(text))
+    if len(wait) != 1:
+        return bad("one d is needed")
+    fields = dict(item.partition("=")[::2] for item in text.decode("ascii").split(","))
+    place = (begin + wait[0].start(1), begin + wait[0].end(1))
+    key = found.group(1) or found.group(2)
+    return Command(head, key, rid[0], float(wait[0].group(1)), place, fields, None)
+
+
+class CommandParser:
+    """What a client sends."""
+
+    def __init__(self) -> None:
+        self._lines = _Lines()
+        self._head: Command | Bad | None = None  # of an ms whose value is not whole yet
+        self._size = 0
+        self._lost = False
+
+    def feed(self, data: bytes) -> Iterator[Input]:
+        """Take in some bytes; give what is whole. After framing is lost the rest is dropped."""
+        if self._lost:
+            return
+        self._lines.add(data)
+        while (item := self._next()) is not None:
+            self._lost = isinstance(item, Bad) and item.framing_lost
+            yield item
+            if self._lost:
+                self._lines = _Lines()
+                return
+
+    def _next(self) -> Input | None:
+        if self._head is None:
+            line = self._lines.line()
+            # Guards memory: a peer that never ends its line is cut off, as is one whose line is too long.
+            if line is None:
+                return bad("line too long", True) if self._lines.unread() > MAX_HEAD else None
+            if len(line) > MAX_HEAD:
+                return bad("line too long", True)
+            if line == b"mn":
+                return Ask.READY
+            if line == b"stats load":
+                return Ask.LOAD
+            if line.startswith(b"mg "):
+                return parse_head(line)
+            if not line.startswith(b"ms "):
+                return Bad(b"ERROR" + CRLF, False)
+            length = SET_LENGTH.match(line)
+            if length is None:
+                return bad("bad data length", True)  # nobody knows where the value ends
+            if int(length.group(1)) > MAX_VALUE:
+                return bad("value too large", True)
+            self._head, self._size = parse_head(line), int(length.group(1)) + 2
+        value = self._lines.block(self._size)
+        if value is None:
+            return None
+        head, self._head = self._head, None
+        if not value.endswith(CRLF):
+            return bad("bad data chunk", True)
+        return head if isinstance(head, Bad) else head._replace(value=value)
+
+
+def pass_on(command: Command, wait: float) -> tuple[bytes, ...]:
+    """Return the parts of a command for a cache server: as it came, but for how long we will wait."""
+    begin, end = command.wait_at
+    parts = (command.head[:begin], b"%d" % max(1, int(wait)), command.head[end:], CRLF)
+    return parts if command.value is None else (*parts, command.value)
+
+
+class Kind(Enum):
+    """What a line of a cache server says."""
+
+    VALUE = 1
+    RECEIPT = 2
+    BUSY = 3
+    FAILED = 4
+    READY = 5
+    STAT = 6
+    END = 7
+    OTHER = 8
+
+
+class ServerAnswer(NamedTuple):
+    """One answer of a cache server. text is what a client gets of it; OTHER holds the line."""
+
+    kind: Kind
+    id: bytes = b""
+    text: tuple[bytes, ...] = ()
+    note: str = ""  # "h1", "h0" or "h0 Z"
+    load: dict[str, float] | None = None
+
+
+def parse_load(text: str) -> dict[str, float]:
+    """Return the figures of a load report; what is no number is passed over."""
+    load = {}
+    for item in text.split(","):
+        name, _, value = item.partition("=")
+        if NUMBER.fullmatch(value):
+            load[name] = float(value)
+    return load
+
+
+class AnswerParser:
+    """What a cache server sends."""
+
+    def __init__(self) -> None:
+        self._lines = _Lines()
+        self._value: ServerAnswer | None = None
+        self._size = 0
+
+    def feed(self, data: bytes) -> Iterator[ServerAnswer]:
+        """Take in some bytes; give what is whole. After OTHER the connection is of no more use."""
+        self._lines.add(data)
+        while (answer := self._next()) is not None:
+            yield answer
+
+    def _next(self) -> ServerAnswer | None:
+        if self._value is None:
+            line = self._lines.line()
+            if line is None or len(line) > MAX_HEAD:
+                too_long = line is not None or self._lines.unread() > MAX_HEAD
+                return ServerAnswer(Kind.OTHER, text=(b"line too long",)) if too_long else None
+            answer = self._line(line)
+            if answer.kind != Kind.VALUE:
+                return answer
+            self._value = answer
+        block = self._lines.block(self._size)
+        if block is None:
+            return None
+        answer, self._value = self._value, None
+        if not block.endswith(CRLF):
+            return ServerAnswer(Kind.OTHER, text=(b"bad data chunk",))
+        return answer._replace(text=(*answer.text, block))
+
+    def _line(self, line: bytes) -> ServerAnswer:
+        other = ServerAnswer(Kind.OTHER, text=(line[:80],))
+        if not line.isascii():
+            return other
+        words = line.decode("ascii").split(" ")
+        load = None
+        if words[-1].startswith("L") and "=" in words[-1]:
+            load = parse_load(words.pop()[1:])
+        if words == ["MN"]:
+            return ServerAnswer(Kind.READY, load=load)
+        if words == ["END"]:
+            return ServerAnswer(Kind.END)
+        if words[0] == "STAT" and len(words) == 3:
+            return ServerAnswer(Kind.STAT, load=parse_load(f"{words[1]}={words[2]}"))
+        if words[:2] == ["SERVER_ERROR", "busy"]:
+            return ServerAnswer(Kind.BUSY, load=load)
+        if words[0] == "SERVER_ERROR":
+            return ServerAnswer(Kind.FAILED, load=load)
+        if words[0] == "VA" and len(words) > 2 and words[1].isdigit() and len(words[1]) < 7:
+            size, flags = int(words[1]), words[2:]
+        elif words[0] == "HD":
+            size, flags = -1, words[1:]
+        else:
+            return other
+        ids, receipts = [w for w in flags if w[:1] == "O"], [w for w in flags if w[:1] == "c"]
+        hits = [w for w in flags if w in ("h0", "h1")]
+        note = hits[0] + (" Z" if "Z" in flags else "") if hits else ""
+        if len(ids) != 1 or size > MAX_VALUE:
+            return other
+        rid = ids[0].encode()
+        if size >= 0:
+            self._size = size + 2
+            return ServerAnswer(Kind.VALUE, rid[1:], (b"VA %d %b\r\n" % (size, rid),), note, load)
+        if len(receipts) != 1:
+            return other
+        return ServerAnswer(
+            Kind.RECEIPT, rid[1:], (b"HD %b %b\r\n" % (rid, receipts[0].encode()),), note, load)
+
+
+READY_LINE = b"MN" + CRLF
+ERROR_LINE = b"ERROR" + CRLF
+FAILED_LINE = b"SERVER_ERROR failed" + CRLF
+STARTING_LINE = b"SERVER_ERROR starting" + CRLF
+
+
+def busy_line(retry_after: float) -> bytes:
+    """Return the line of a refusal."""
+    return b"SERVER_ERROR busy %d\r\n" % retry_after if retry_after >= 1 else b"SERVER_ERROR busy\r\n"
--- /dev/null
+++ b/starlingthread/net/peers.py
@@ -0,0 +1,60 @@
+"""The other routers: short UDP messages, late or lost."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from .. import interface as api
+from ..core.counters import Counters
+from ..core.router import Router
+
+log = logging.getLogger("starlingthread")
+
+MAX_MESSAGE = 256
+
+
+class PeerActor(asyncio.DatagramProtocol):
+    """One socket for all peers; what comes goes into the module's mailbox. (Streams know no datagrams.)"""
+
+    def __init__(self, router: Router, counters: Counters, peers: list[tuple[str, int]],
+                 everyone: tuple[str, int] | None, me: int) -> None:
+        self.router, self.counters, self.peers, self.everyone, self.me = router, counters, peers, everyone, me
+        self.number = {address: number for number, address in enumerate(peers)}
+        self.transport: asyncio.DatagramTransport | None = None
+
+    async def listen(self, host: str, port: int) -> None:
+        """Open the socket."""
+        loop = asyncio.get_running_loop()
+        self.transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=(host, port))
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take in a message; one from a stranger, or too long to be a peer's, is counted and dropped."""
+        sender = self.number.get((addr[0], addr[1]))
+        if sender is None or len(data) > MAX_MESSAGE or sender == self.me:
+            self.counters.note("peers.stray")
+        elif self.router.mailbox.put(api.PeerMessage(sender, data)):
+            self.counters.note("peers.received")
+
+    def error_received(self, exc: Exception) -> None:
+        """Count what the network gave back; messages may be lost anyway."""
+        self.counters.note("peers.errors")
+
+    def tell(self, peer: int | None, payload: bytes) -> None:
+        """Send a message to one router, or to all (None)."""
+        if self.transport is None or len(payload) > MAX_MESSAGE:
+            self.counters.note("peers.unsent")
+            return
+        if peer is None:
+            targets = [self.everyone] if self.everyone else [
+                a for n, a in enumerate(self.peers) if n != self.me]
+        else:
+            targets = [self.peers[peer]] if peer < len(self.peers) else []
+        for address in targets:
+            self.transport.sendto(payload, address)
+            self.counters.note("peers.sent")
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self.transport is not None:
+            self.transport.close()
--- /dev/null
+++ b/starlingthread/net/registry.py
@@ -0,0 +1,219 @@
+"""Discovery: the whole list and the watch, over HTTP/1.1 that h11 parses."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import logging
+from typing import Any
+
+import h11
+
+from .. import interface as api
+from ..core.actors import Clock, Mailbox, Watcher
+from ..core.counters import Counters
+from ..core.deadlines import Deadline, Deadlines
+from ..core.router import Listed, Router
+
+log = logging.getLogger("starlingthread")
+
+SILENCE = 4000.0  # ms without a byte after which a call has failed; a watch says something every 2 s
+MAX_LINE = 4 << 20  # bytes of one list
+STATES = {
+    "in_service": api.ServerState.READY, "terminating": api.ServerState.DRAINING,
+    "terminated": api.ServerState.GONE,
+}
+LIST_PATH = "/registry/instances"
+
+
+class ListError(Exception):
+    """Discovery said something that is no list."""
+
+
+class Ids:
+    """Server ids: from the name alone, so the same at every router and after every restart."""
+
+    def __init__(self) -> None:
+        self._by_name: dict[str, int] = {}
+        self._taken: set[int] = set()
+
+    def of(self, name: str) -> int:
+        """Return the id of a name. On a collision of 32 bits the name that came later is hashed again."""
+        number = self._by_name.get(name)
+        turn = 0
+        while number is None:
+            digest = hashlib.blake2b(name.encode(), digest_size=4, salt=b"%d" % turn).digest()
+            drawn, turn = int.from_bytes(digest, "big"), turn + 1
+            if drawn not in self._taken:
+                number = self._by_name[name] = drawn
+                self._taken.add(drawn)
+        return number
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Turn 'host:port' into its parts, or raise a ValueError."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is no address")
+    return host.strip("[]"), int(port)
+
+
+class ListReader:
+    """Turns discovery's objects into the module's lists."""
+
+    def __init__(self, zones: tuple[str, ...], kinds: tuple[str, ...]) -> None:
+        self.zones = {name: number for number, name in enumerate(zones)}
+        self.kinds = {name: number for number, name in enumerate(kinds)}
+        self.ids = Ids()
+
+    def read(self, raw: object, kind: api.ListKind | None = None) -> Listed:
+        """Read one object; its kind is told by 'snapshot' unless given. Raise ListError if it is no list."""
+        try:
+            return self._read(raw, kind)
+        except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+            raise ListError(f"not a list: {error!r}") from None
+
+    def _read(self, raw: Any, kind: api.ListKind | None) -> Listed:
+        members, addresses = [], {}
+        # In the order of names, so that even ids that collide within one list come out the same everywhere.
+        for line in sorted(raw["endpoints"], key=lambda line: str(line["name"])):
+            number = self.ids.of(str(line["name"]))
+            if line.get("address"):
+                addresses[number] = parse_address(line["address"])
+            # An unknown zone or kind gets a place behind the known ones: it is then nobody's own.
+            members.append(api.Member(
+                number, self.zones.get(line.get("zone"), len(self.zones)),
+                self.kinds.get(line.get("type"), len(self.kinds)), int(line.get("group") or 0),
+                STATES[line["status"]], float(line.get("weight", 1.0)), float(line.get("since_ms") or 0.0)))
+        if kind is None:
+            kind = api.ListKind.FULL if raw["snapshot"] else api.ListKind.DELTA
+        return Listed(api.MemberList(kind, int(raw["index"]), tuple(members)), addresses)
+
+
+class RegistryActor:
+    """Asks discovery when the module says so, and tells the module what came of it."""
+
+    def __init__(self, router: Router, reader: ListReader, address: tuple[str, int], clock: Clock,
+                 deadlines: Deadlines, counters: Counters, watcher: Watcher) -> None:
+        self.router, self.reader, self.address = router, reader, address
+        self.clock, self.deadlines, self.counters, self.watcher = clock, deadlines, counters, watcher
+        self.mailbox: Mailbox[str] = Mailbox(100)
+        self.index = 0  # version of the list that the module has
+        self._watching: asyncio.Task[None] | None = None
+
+    def known(self, raw: object) -> None:
+        """Tell the module the list from the configuration."""
+        listing = self.reader.read(raw, api.ListKind.CACHED)
+        self.index = listing.event.version
+        self.router.mailbox.must_put(listing)
+
+    def watch(self, active: bool) -> None:
+        """Ask for changes from now on, or no longer."""
+        if not self.mailbox.put("watch" if active else "stop"):
+            self._failed("mailbox full")
+
+    def fetch(self) -> None:
+        """Ask for the whole list once."""
+        if not self.mailbox.put("fetch"):
+            self._failed("mailbox full")
+
+    async def run(self) -> None:
+        """Take what the module asks for."""
+        while True:
+            for message in self.mailbox.take():
+                if message != "fetch" and self._watching is not None:
+                    self._watching.cancel()
+                    self._watching = None
+                if message == "watch":
+                    path = f"{LIST_PATH}?watch=1&after={self.index}"
+                    self._watching = self._call(path, watch=True)
+                elif message == "fetch":
+                    self._call(LIST_PATH, watch=False)
+            await self.mailbox.wait()
+
+    def _call(self, path: str, watch: bool) -> asyncio.Task[None]:
+        self.counters.note("registry.watches" if watch else "registry.fetches")
+        return self.watcher.start(
+            self._speak(path, watch), "registry-call", lambda error: self._failed(repr(error)))
+
+    def _failed(self, why: str) -> None:
+        self.counters.note("registry.failures")
+        log.info("registry-failed why=%s", why)
+        self.router.mailbox.must_put(
+            Listed(api.MemberList(api.ListKind.FAILED, self.index), {}))
+
+    async def _speak(self, path: str, watch: bool) -> None:
+        """Make one call. It ends with a list told, or with one failure told; a watch goes on in between."""
+        task = asyncio.current_task()
+        assert task is not None
+        silence: Deadline | None = None
+        silent = False
+        writer: asyncio.StreamWriter | None = None
+
+        def too_silent() -> None:
+            nonlocal silent
+            silent = True
+            task.cancel()
+
+        def heard() -> None:
+            nonlocal silence
+            self.deadlines.clear(silence)
+            silence = self.deadlines.set(self.clock.now() + SILENCE, too_silent)
+
+        try:
+            heard()
+            stream, writer = await asyncio.open_connection(*self.address)
+            http = h11.Connection(h11.CLIENT)
+            host = f"{self.address[0]}:{self.address[1]}"
+            writer.write(http.send(h11.Request(method="GET", target=path, headers=[("Host", host)])) or b"")
+            writer.write(http.send(h11.EndOfMessage()) or b"")
+            rest = bytearray()
+            while True:
+                event = http.next_event()
+                if event is h11.NEED_DATA:
+                    data = await stream.read(65536)
+                    heard()
+                    http.receive_data(data)
+                elif isinstance(event, h11.Response) and event.status_code != 200:
+                    return self._failed(f"status {event.status_code}")
+                elif isinstance(event, h11.Data):
+                    rest += event.data
+                    if watch:
+                        self._lines(rest)
+                    if len(rest) > MAX_LINE:
+                        return self._failed("list too long")
+                elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
+                    if watch or isinstance(event, h11.ConnectionClosed):
+                        return self._failed("watch ended" if watch else "closed")
+                    return self._tell(bytes(rest))
+        except asyncio.CancelledError:
+            if not silent:
+                raise
+            self._failed("silent")
+        except (OSError, h11.RemoteProtocolError, ListError) as error:
+            self._failed(repr(error))
+        finally:
+            self.deadlines.clear(silence)
+            if writer is not None:
+                writer.transport.abort()
+
+    def _lines(self, rest: bytearray) -> None:
+        while (end := rest.find(b"\n")) >= 0:
+            line = bytes(rest[:end]).strip()
+            del rest[:end + 1]
+            if line:
+                self._tell(line)
+
+    def _tell(self, text: bytes) -> None:
+        try:
+            raw = json.loads(text)
+        except (ValueError, RecursionError) as error:
+            self.counters.note("registry.bad_json")
+            raise ListError(f"bad JSON: {error}") from None
+        listing = self.reader.read(raw)
+        if listing.event.kind == api.ListKind.DELTA and listing.event.version < self.index:
+            raise ListError(f"changes for version {listing.event.version}, we have {self.index}")
+        self.index = listing.event.version
+        self.counters.note("registry.lists")
+        self.router.mailbox.must_put(listing)
--- /dev/null
+++ b/starlingthread/net/servers.py
@@ -0,0 +1,443 @@
+"""Cache servers: one actor per server, which owns its connections, and the fleet that owns the actors.
+
+An attempt has a connection to itself: giving up an attempt closes its connection, and one that is shared
+would take others with it, and answers on it wait for each other.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import NamedTuple, TypeAlias
+
+from .. import interface as api
+from ..core.actors import Clock, Mailbox, Watcher
+from ..core.counters import Counters
+from ..core.deadlines import Deadline, Deadlines
+from ..core.router import Attempt, Ended, Listed, Router
+from . import meta
+
+log = logging.getLogger("starlingthread")
+
+READ = 65536
+MAILBOX = 10000
+RETIRE_SHARE = 0.65  # of the server's idle limit: a write that crosses its close would be a reset
+LOOK_EVERY = 1000.0  # ms between looks for connections to retire
+DRAIN_MARGIN = 100.0  # ms before the end of the drain grace from which we write nothing more
+FORGET_AFTER = 60000.0  # ms after which the actor of a server that is gone is ended
+PROBE_WAIT = 50.0  # ms in which a probe must be answered
+NOTES = {"h1": api.Note.HIT, "h0": api.Note.MISS, "h0 Z": api.Note.FETCH_OUT}
+
+
+class Probing:
+    """A probe that is out; it stands where an attempt would."""
+
+    __slots__ = ("fields", "limit", "sent_at")
+
+    def __init__(self, sent_at: float) -> None:
+        self.sent_at = sent_at
+        self.limit: Deadline | None = None
+        self.fields: dict[str, float] = {}
+
+
+class Connection:
+    """One connection to a cache server; its actor owns it."""
+
+    __slots__ = ("busy", "closed", "idle_since", "parser", "reader", "writer")
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+        self.parser = meta.AnswerParser()
+        self.busy: Attempt | Probing | None = None
+        self.idle_since = 0.0
+        self.closed = False
+
+
+class Start(NamedTuple):
+    """Message: make an attempt, or a probe."""
+
+    job: Attempt | Probing
+
+
+class Abandon(NamedTuple):
+    """Message: stop waiting for an attempt that has its outcome, or a probe."""
+
+    job: Attempt | Probing
+
+
+class ConnectLate(NamedTuple):
+    """Message: a connection has not come up in time."""
+
+    job: Attempt | Probing
+
+
+class Opened(NamedTuple):
+    """Message: what became of a connection that was opened for a job."""
+
+    job: Attempt | Probing
+    connection: Connection | None
+
+
+class Answered(NamedTuple):
+    """Message: a whole answer, or part of one to 'stats load', has come."""
+
+    connection: Connection
+    answer: meta.ServerAnswer
+
+
+class Broken(NamedTuple):
+    """Message: a connection has ended."""
+
+    connection: Connection
+
+
+class Retire(NamedTuple):
+    """Message: close what has been idle for so many ms."""
+
+    idle: float
+
+
+Message: TypeAlias = Start | Abandon | ConnectLate | Opened | Answered | Broken | Retire
+
+
+class ServerActor:
+    """One cache server: opens, keeps, uses and closes the connections to it."""
+
+    def __init__(self, fleet: ServerFleet, number: int, address: tuple[str, int]) -> None:
+        self.fleet, self.number, self.address = fleet, number, address
+        self.mailbox: Mailbox[Message] = Mailbox(MAILBOX)
+        self.idle: list[Connection] = []  # the one used last at the end
+        self.busy: dict[Attempt | Probing, Connection] = {}
+        self.opening: dict[Attempt | Probing, tuple[asyncio.Task[None], Deadline]] = {}
+        self.open = 0  # connections open or being opened
+        self.shut_at: float | None = None  # when we were told that it drains or is gone
+        self.gone_at: float | None = None
+
+    async def run(self) -> None:
+        """Take messages for ever."""
+        while True:
+            for message in self.mailbox.take():
+                self._take_in(message)
+            await self.mailbox.wait()
+
+    def _take_in(self, message: Message) -> None:
+        if isinstance(message, Start):
+            self._start(message.job)
+        elif isinstance(message, Answered):
+            self._answered(message.connection, message.answer)
+        elif isinstance(message, Opened):
+            self._opened(message.job, message.connection)
+        elif isinstance(message, Abandon):
+            self._abandon(message.job)
+        elif isinstance(message, Broken):
+            self._broken(message.connection)
+        elif isinstance(message, ConnectLate):
+            if self._stop_opening(message.job):
+                self.fleet.counters.note("connections.late")
+                self._report(message.job, api.Result.CONNECT_FAILED)
+        else:
+            self._retire(message.idle)
+
+    # jobs
+
+    def _is_wanted(self, job: Attempt | Probing) -> bool:
+        """Look again right before a write: time has passed since the module decided."""
+        if isinstance(job, Probing):
+            return True
+        now = self.fleet.clock.now()
+        # A request that ended meanwhile must not run, and one past the drain grace would break the drain.
+        if not job.wanted or job.request.over or now >= job.until:
+            return False
+        return self.shut_at is None or now <= self.shut_at + self.fleet.grace - DRAIN_MARGIN
+
+    def _start(self, job: Attempt | Probing) -> None:
+        if not self._is_wanted(job):
+            self._report(job, api.Result.MOOT)
+        elif self.idle:
+            self._write(self.idle.pop(), job)
+        elif not self.fleet.make_room():
+            self.fleet.counters.note("connections.no_room")
+            self._report(job, api.Result.CONNECT_FAILED)
+        else:
+            self.open += 1
+            task = self.fleet.watcher.start(self._open(job), "open", lambda _: self._tell(Opened(job, None)))
+            late = self.fleet.deadlines.set(
+                self.fleet.clock.now() + self.fleet.connect_timeout, lambda: self._tell(ConnectLate(job)))
+            self.opening[job] = (task, late)
+
+    def _tell(self, message: Message) -> None:
+        self.mailbox.must_put(message)
+
+    async def _open(self, job: Attempt | Probing) -> None:
+        try:
+            reader, writer = await asyncio.open_connection(*self.address, limit=READ)
+        except OSError:
+            self._tell(Opened(job, None))
+        else:
+            self._tell(Opened(job, Connection(reader, writer)))
+
+    def _stop_opening(self, job: Attempt | Probing) -> bool:
+        if job not in self.opening:
+            return False
+        task, late = self.opening.pop(job)
+        task.cancel()
+        self.fleet.deadlines.clear(late)
+        self.open -= 1
+        return True
+
+    def _opened(self, job: Attempt | Probing, connection: Connection | None) -> None:
+        if job not in self.opening:  # given up while it came up
+            if connection is not None:
+                connection.writer.transport.abort()
+            return
+        _, late = self.opening.pop(job)
+        self.fleet.deadlines.clear(late)
+        if connection is None:
+            self.open -= 1
+            self.fleet.counters.note("connections.refused")
+            self._report(job, api.Result.CONNECT_FAILED)
+            return
+        self.fleet.counters.note("connections.opened")
+        self.fleet.watcher.start(
+            self._pump(connection), "server-reader", lambda _: self._tell(Broken(connection)))
+        if self._is_wanted(job):
+            self._write(connection, job)
+        else:
+            self._report(job, api.Result.MOOT)
+            self._keep(connection)
+
+    def _write(self, connection: Connection, job: Attempt | Probing) -> None:
+        writer = connection.writer
+        connection.busy = job
+        self.busy[job] = connection
+        if isinstance(job, Probing):
+            writer.write(b"stats load\r\n" if self.fleet.report_fields else b"mn\r\n")
+        elif isinstance(job.request.payload, meta.Command):
+            writer.writelines(meta.pass_on(job.request.payload, job.until - self.fleet.clock.now()))
+
+    def _abandon(self, job: Attempt | Probing) -> None:
+        self._stop_opening(job)
+        if (connection := self.busy.get(job)) is not None:
+            self._discard(connection)
+
+    def _report(self, job: Attempt | Probing, result: api.Result,
+                answer: meta.ServerAnswer | None = None) -> None:
+        """Tell the module's actor how a job ended. What it no longer waits for it drops itself."""
+        fields = self.fleet.report_fields
+        load = answer.load if answer is not None else None
+        if isinstance(job, Probing):
+            self.fleet.deadlines.clear(job.limit)
+            load = job.fields
+        report = tuple(load.get(f, 0.0) for f in fields) if load else ()
+        if isinstance(job, Probing):
+            elapsed = self.fleet.clock.now() - job.sent_at
+            self.fleet.router.mailbox.must_put(api.ProbeResult(self.number, result, elapsed, report))
+        else:
+            note = NOTES.get(answer.note, api.Note.NONE) if answer is not None else api.Note.NONE
+            self.fleet.router.mailbox.must_put(Ended(job, result, note, report, answer))
+
+    # connections
+
+    async def _pump(self, connection: Connection) -> None:
+        """Read a connection until it ends, busy or idle: so an idle one's end is seen at once."""
+        try:
+            while data := await connection.reader.read(READ):
+                for answer in connection.parser.feed(data):
+                    self._tell(Answered(connection, answer))
+                    if answer.kind == meta.Kind.OTHER:
+                        return
+        except OSError:
+            pass
+        self._tell(Broken(connection))
+
+    def _answered(self, connection: Connection, answer: meta.ServerAnswer) -> None:
+        job = connection.busy
+        if job is None:
+            # Nothing was asked: such a connection can't be trusted to answer the next request in its place.
+            self.fleet.counters.note("servers.stray_answers")
+            self._discard(connection)
+        elif isinstance(job, Probing):
+            self._probed(connection, job, answer)
+        else:
+            self._attempted(connection, job, answer)
+
+    def _attempted(self, connection: Connection, job: Attempt, answer: meta.ServerAnswer) -> None:
+        command, kind = job.request.payload, answer.kind
+        result = api.Result.ERROR
+        if kind == meta.Kind.BUSY:
+            result = api.Result.FULL
+        elif kind in (meta.Kind.VALUE, meta.Kind.RECEIPT):
+            fits = isinstance(command, meta.Command) and command.id == answer.id
+            if fits and job.request.is_write == (kind == meta.Kind.RECEIPT):
+                result = api.Result.OK
+        if result == api.Result.ERROR and kind != meta.Kind.FAILED:
+            # Not an answer to what was asked: nobody knows what the next one on this connection would answer.
+            self.fleet.counters.note("servers.bad_answers")
+            self._report(job, result)
+            self._discard(connection)
+            return
+        self._report(job, result, answer)
+        self._keep(connection)
+
+    def _probed(self, connection: Connection, job: Probing, answer: meta.ServerAnswer) -> None:
+        if answer.kind == meta.Kind.STAT:
+            job.fields.update(answer.load or {})
+            return
+        fine = answer.kind in (meta.Kind.END, meta.Kind.READY)
+        if answer.load:
+            job.fields.update(answer.load)
+        self._report(job, api.Result.OK if fine else api.Result.ERROR)
+        self._keep(connection) if answer.kind != meta.Kind.OTHER else self._discard(connection)
+
+    def _broken(self, connection: Connection) -> None:
+        job = connection.busy
+        if job is not None:
+            # It was handed to the system whole or nearly so; as nobody can tell, it may have run.
+            self._report(job, api.Result.RESET)
+        self._discard(connection)
+
+    def _release(self, connection: Connection) -> None:
+        if connection.busy is not None:
+            self.busy.pop(connection.busy, None)
+            connection.busy = None
+
+    def _keep(self, connection: Connection) -> None:
+        """The one place where a connection that is good goes back to the pool."""
+        self._release(connection)
+        connection.idle_since = self.fleet.clock.now()
+        self.idle.append(connection)
+
+    def _discard(self, connection: Connection) -> None:
+        """The one place where an open connection is closed; at once, so no rest of a request leaves."""
+        if connection.closed:
+            return
+        connection.closed = True
+        self._release(connection)
+        if connection in self.idle:
+            self.idle.remove(connection)
+        self.open -= 1
+        self.fleet.counters.note("connections.closed")
+        connection.writer.transport.abort()
+
+    def _retire(self, idle: float) -> None:
+        before = self.fleet.clock.now() - idle
+        for connection in [c for c in self.idle if c.idle_since <= before]:
+            self._discard(connection)
+
+    def close(self) -> None:
+        """Close everything."""
+        for job in list(self.opening):
+            self._stop_opening(job)
+        for connection in [*self.idle, *self.busy.values()]:
+            self._discard(connection)
+
+
+class ServerFleet:
+    """Owns the actors of all cache servers that lists have named, and the budget of their connections."""
+
+    def __init__(self, settings: api.Settings, router: Router, clock: Clock, deadlines: Deadlines,
+                 counters: Counters, watcher: Watcher, most: int, idle_close: float) -> None:
+        self.router, self.clock, self.deadlines = router, clock, deadlines
+        self.counters, self.watcher, self.most = counters, watcher, most
+        self.grace, self.connect_timeout = settings.drain_grace, settings.connect_timeout
+        self.report_fields = settings.report_fields
+        self.retire_after = idle_close * RETIRE_SHARE
+        self.actors: dict[int, ServerActor] = {}
+        self.tasks: dict[int, asyncio.Task[None]] = {}
+        self._look()
+
+    def _look(self) -> None:
+        now = self.clock.now()
+        for number, actor in list(self.actors.items()):
+            actor.mailbox.must_put(Retire(self.retire_after))
+            if actor.gone_at is not None and now - actor.gone_at > FORGET_AFTER and not actor.busy:
+                self._end(number)
+        self.deadlines.set(now + LOOK_EVERY, self._look)
+
+    def _end(self, number: int) -> None:
+        self.actors.pop(number).close()
+        self.tasks.pop(number).cancel()
+
+    def listed(self, listing: Listed, now: float) -> None:
+        """Take in a list: who is new, who has moved, who drains or is gone."""
+        event = listing.event
+        if event.kind == api.ListKind.FAILED:
+            return
+        shut = {m.server: m.state for m in event.members if m.state != api.ServerState.READY}
+        if event.kind != api.ListKind.DELTA:
+            named = {m.server for m in event.members}
+            shut.update({n: api.ServerState.GONE for n in self.actors if n not in named})
+        for number, address in listing.addresses.items():
+            actor = self.actors.get(number)
+            if actor is None:
+                actor = self.actors[number] = ServerActor(self, number, address)
+                self._run(actor)
+            elif actor.address != address:
+                actor.address = address
+                actor.mailbox.must_put(Retire(0.0))
+        for number, actor in self.actors.items():
+            if number in shut:
+                actor.shut_at = now if actor.shut_at is None else actor.shut_at
+                if shut[number] == api.ServerState.GONE:
+                    actor.gone_at = now if actor.gone_at is None else actor.gone_at
+            elif number in listing.addresses:
+                actor.shut_at = actor.gone_at = None
+
+    def _run(self, actor: ServerActor) -> None:
+        def died(_: BaseException) -> None:
+            # Guards against attempts that nobody would end: each gets its outcome, then all starts anew.
+            self.counters.note("servers.actor_died")
+            for job in [*actor.opening, *actor.busy]:
+                actor._report(job, api.Result.RESET)
+            actor.close()
+            if self.actors.get(actor.number) is actor:
+                self._run(actor)
+
+        self.tasks[actor.number] = self.watcher.start(actor.run(), "server", died)
+
+    def start(self, attempt: Attempt) -> None:
+        """Make an attempt."""
+        actor = self.actors.get(attempt.server)
+        if actor is None or not actor.mailbox.put(Start(attempt)):
+            self.router.mailbox.must_put(Ended(attempt, api.Result.CONNECT_FAILED))
+
+    def abandon(self, attempt: Attempt) -> None:
+        """Stop waiting for an attempt."""
+        if (actor := self.actors.get(attempt.server)) is not None:
+            actor.mailbox.must_put(Abandon(attempt))
+
+    def probe(self, server: int) -> None:
+        """Check a server."""
+        job, actor = Probing(self.clock.now()), self.actors.get(server)
+        if actor is None:
+            self.router.mailbox.must_put(api.ProbeResult(server, api.Result.CONNECT_FAILED, 0.0))
+            return
+
+        def late(actor: ServerActor = actor) -> None:
+            actor._report(job, api.Result.TIMEOUT)
+            actor.mailbox.must_put(Abandon(job))
+
+        job.limit = self.deadlines.set(self.clock.now() + self.connect_timeout + PROBE_WAIT, late)
+        actor.mailbox.must_put(Start(job))
+
+    def close_idle(self, server: int) -> None:
+        """Close the idle connections to a server."""
+        if (actor := self.actors.get(server)) is not None:
+            actor.mailbox.must_put(Retire(0.0))
+
+    def make_room(self) -> bool:
+        """Tell whether one more connection may be opened; close the one idle longest if need be."""
+        if sum(a.open for a in self.actors.values()) < self.most:
+            return True
+        idle = [(a.idle[0].idle_since, n) for n, a in self.actors.items() if a.idle]
+        if not idle:
+            return False
+        actor = self.actors[min(idle)[1]]
+        actor._discard(actor.idle[0])
+        return True
+
+    def close(self) -> None:
+        """Close everything."""
+        for number in list(self.actors):
+            self._end(number)
+
