End the answer parser at the first line it can't read, and bound what clients hold

Seen: the garbage test against the parsers never ended. A stack dump named AnswerParser.feed and _next in net/meta.py: a line over 2048 bytes with no end was told as OTHER again and again, as nothing left the buffer. The parser now stops there; test_meta.py holds it.

--- a/starlingthread/__main__.py
+++ b/starlingthread/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import json
 import logging
@@ -75,26 +76,30 @@
         raise ConfigError(f"{path}: {error}") from None
 
 
+class DroppingHandler(QueueHandler):
+    """Hands log lines to the thread that writes them; when that one is stuck they are dropped, not kept."""
+
+    def enqueue(self, record: logging.LogRecord) -> None:
+        """Leave a line, or drop it."""
+        with contextlib.suppress(queue.Full):
+            self.queue.put_nowait(record)
+
+
 class Program:
     """Wires the actors together and ends them."""
 
     def __init__(self, config: Config) -> None:
-        self.config, self.clock, self.deadlines = config, Clock(), Deadlines()
-        self.counters, self.watcher = Counters(), Watcher()
+        self.config, self.counters, self.watcher = config, Counters(), Watcher()
         self.stop = asyncio.Event()
         self.code = 0
-        self.router = Router(config.settings, config.seed, self.clock, self.deadlines, self.counters)
+        self.router = Router(config.settings, config.seed, Clock(), Deadlines(), self.counters)
         self.fleet = ServerFleet(
-            config.settings, self.router, self.clock, self.deadlines, self.counters, self.watcher,
-            int(config.sockets * SERVER_SHARE), config.idle_close)
+            config.settings, self.router, self.watcher, int(config.sockets * SERVER_SHARE), config.idle_close)
         self.registry = RegistryActor(
-            self.router, ListReader(config.zones, config.kinds), config.discovery, self.clock, self.deadlines,
-            self.counters, self.watcher)
-        self.peers = PeerActor(
-            self.router, self.counters, config.peers, config.peers_all, config.settings.me)
+            self.router, ListReader(config.zones, config.kinds), config.discovery, self.watcher)
+        self.peers = PeerActor(self.router, config.peers, config.peers_all, config.settings.me)
         self.front = Front(
-            config.settings, self.router, self.clock, self.counters, self.watcher,
-            int(config.sockets * CLIENT_SHARE), self.ready)
+            config.settings, self.router, self.watcher, int(config.sockets * CLIENT_SHARE), self.ready)
         self.router.fleet, self.router.registry, self.router.peers = self.fleet, self.registry, self.peers
 
     def ready(self) -> bool:
@@ -156,18 +161,21 @@
 def main() -> int:
     """Run the router; one plain line on standard error and 1 if it can't start."""
     try:
-        config = read_config(os.environ.get("LB_CONFIG", ""))
+        if not os.environ.get("LB_CONFIG"):
+            raise ConfigError("LB_CONFIG names no file")
+        config = read_config(os.environ["LB_CONFIG"])
     except ConfigError as error:
         print(f"starlingthread: {error}", file=sys.stderr)
         return 1
     # Log lines are written by a thread of their own: a full pipe must not hold up an answer.
-    lines: queue.SimpleQueue[object] = queue.SimpleQueue()
+    lines: queue.Queue[object] = queue.Queue(1000)
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(logging.Formatter("%(asctime)s %(levelname)s %(message)s"))
     listener = QueueListener(lines, handler)
-    log.addHandler(QueueHandler(lines))
+    for logger in (log, logging.getLogger("asyncio")):
+        logger.addHandler(DroppingHandler(lines))
+        logger.propagate = False
     log.setLevel(logging.INFO)
-    log.propagate = False
     listener.start()
 
     async def serve() -> int:
--- a/starlingthread/core/router.py
+++ b/starlingthread/core/router.py
@@ -173,7 +173,7 @@
         self._carry_out(self.module.start(self.clock.now()))
 
     async def run(self) -> None:
-        """Take turns for ever: sweep the deadlines, then take in what has come."""
+        """Take turns for ever: take in what has come, then sweep the deadlines."""
         self.deadlines.on_sooner = self._arm
         while True:
             self.turn()
@@ -181,10 +181,10 @@
             await self.mailbox.wait()
 
     def turn(self) -> None:
-        """One turn."""
-        self.deadlines.sweep(self.clock.now())
+        """One turn. What has come goes first, so that after a pause no answer loses to its limit."""
         for message in self.mailbox.take():
             self._take_in(message)
+        self.deadlines.sweep(self.clock.now())
 
     def _arm(self) -> None:
         """Keep one timer, for the first deadline there is."""
--- a/starlingthread/net/clients.py
+++ b/starlingthread/net/clients.py
@@ -9,8 +9,7 @@
 from collections.abc import Callable
 
 from .. import interface as api
-from ..core.actors import Clock, Mailbox, Watcher
-from ..core.counters import Counters
+from ..core.actors import Mailbox, Watcher
 from ..core.router import Answer, Asked, Gone, Refused, Router, Served, Taken
 from . import meta
 
@@ -18,7 +17,9 @@
 
 READ = 65536
 MAX_PIPELINED = 16  # commands of one connection that may be without their answer; then it is not read
-MAX_UNSENT = 262144  # bytes that a slow reader may leave unsent before its actor waits for it
+MAX_UNSENT = 65536  # bytes that a slow reader may leave unsent before its actor waits for it
+STUCK = 10000.0  # ms for which a client may read nothing of what is written to it; then it is cut off
+MAX_HELD = 48 << 20  # bytes of values, of all clients together, past which new requests are turned away
 ANSWER_EARLY = 4.0  # ms; d runs from the client's send, and the answer has to travel back as well
 IDLE_ROUNDS = 0.05  # s between looks at what is still open, at the end
 
@@ -31,10 +32,11 @@
 class Slot:
     """The place of one answer in the order of a connection."""
 
-    __slots__ = ("last", "parts", "request")
+    __slots__ = ("last", "parts", "request", "size")
 
     def __init__(self) -> None:
         self.parts: tuple[bytes, ...] | None = None
+        self.size = 0  # bytes of the value that it holds, on its way in or out
         self.request: Taken | None = None
         self.last = False  # the connection is closed behind this answer
 
@@ -91,7 +93,11 @@
                 is_retry=item.fields.get("r") == "1", is_write=item.is_write)
             slot.request = request
             self.by_request[request] = slot
-            if not front.router.mailbox.put(Asked(request)):
+            self._hold(slot, len(item.value or b""))
+            if front.held > MAX_HELD:
+                front.counters.note("requests.memory_full")
+                self.answer(request, Refused())
+            elif not front.router.mailbox.put(Asked(request)):
                 front.counters.note("requests.mailbox_full")
                 self.answer(request, Refused())
         elif isinstance(item, meta.Bad):
@@ -118,7 +124,12 @@
         else:
             self._put(slot, meta.FAILED_LINE)
 
+    def _hold(self, slot: Slot, size: int) -> None:
+        self.front.held += size - slot.size
+        slot.size = size
+
     def _put(self, slot: Slot, *parts: bytes) -> None:
+        self._hold(slot, sum(map(len, parts)))
         # A slot gets one message in its life, so there are never more of them than slots.
         self.mailbox.must_put((slot, parts))
 
@@ -130,16 +141,17 @@
                 for slot, parts in self.mailbox.take():
                     slot.parts = parts
                 while self.slots and (ready := self.slots[0].parts) is not None:
-                    last = self.slots.popleft().last
+                    slot = self.slots.popleft()
+                    self._hold(slot, 0)
                     self.used_at = self.front.clock.now()
                     self.writer.writelines(ready)
                     self.room.set()
-                    if last:
+                    if slot.last:
                         return
                 if self.ended or (self.closing and not self.slots):
                     return
                 if self.writer.transport.get_write_buffer_size() > MAX_UNSENT:
-                    await self.writer.drain()
+                    await self._drain()
                 await self.mailbox.wait()
         except OSError:
             self.front.counters.note("clients.reset")
@@ -147,6 +159,19 @@
             reading.cancel()
             self.close()
 
+    async def _drain(self) -> None:
+        """Wait for a slow reader, for a while: its answers take memory, and its connection a descriptor."""
+        limit = self.front.deadlines.set(self.front.clock.now() + STUCK, self._cut_off)
+        try:
+            await self.writer.drain()
+        finally:
+            self.front.deadlines.clear(limit)
+
+    def _cut_off(self) -> None:
+        if not self.writer.transport.is_closing() or self.writer.transport.get_write_buffer_size():
+            self.front.counters.note("clients.cut_off")
+            self.writer.transport.abort()
+
     def _reader_died(self) -> None:
         self.ended = True
         self.mailbox.wake()
@@ -156,8 +181,13 @@
         for request in list(self.by_request):
             self.front.router.mailbox.must_put(Gone(request))
         self.by_request.clear()
+        for slot in self.slots:
+            self._hold(slot, 0)
+        self.slots.clear()
         self.front.actors.discard(self)
         self.writer.close()
+        if self.writer.transport.get_write_buffer_size():  # what is written still goes out, within a time
+            self.front.deadlines.set(self.front.clock.now() + STUCK, self._cut_off)
 
     def shut_when_idle(self) -> None:
         """Close once nothing is owed."""
@@ -168,9 +198,11 @@
 class Front:
     """Accepts clients and owns their actors."""
 
-    def __init__(self, settings: api.Settings, router: Router, clock: Clock, counters: Counters,
-                 watcher: Watcher, most: int, ready: Callable[[], bool]) -> None:
-        self.router, self.clock, self.counters, self.watcher = router, clock, counters, watcher
+    def __init__(self, settings: api.Settings, router: Router, watcher: Watcher, most: int,
+                 ready: Callable[[], bool]) -> None:
+        self.router, self.watcher = router, watcher
+        self.clock, self.counters, self.deadlines = router.clock, router.counters, router.deadlines
+        self.held = 0  # bytes of values that all slots hold
         self.classes = {cls.name: number for number, cls in enumerate(settings.classes)}
         self.most, self.ready = most, ready
         self.actors: set[ClientActor] = set()
--- a/starlingthread/net/meta.py
+++ b/starlingthread/net/meta.py
@@ -219,11 +219,18 @@
         self._lines = _Lines()
         self._value: ServerAnswer | None = None
         self._size = 0
+        self._lost = False
 
     def feed(self, data: bytes) -> Iterator[ServerAnswer]:
-        """Take in some bytes; give what is whole. After OTHER the connection is of no more use."""
+        """Take in some bytes; give what is whole. After OTHER the connection is of no more use, nor the rest.
+
+        Guards against a line that never ends: it was told for ever, as nothing was taken from the buffer.
+        """
+        if self._lost:
+            return
         self._lines.add(data)
-        while (answer := self._next()) is not None:
+        while not self._lost and (answer := self._next()) is not None:
+            self._lost = answer.kind == Kind.OTHER
             yield answer
 
     def _next(self) -> ServerAnswer | None:
--- a/starlingthread/net/peers.py
+++ b/starlingthread/net/peers.py
@@ -6,7 +6,6 @@
 import logging
 
 from .. import interface as api
-from ..core.counters import Counters
 from ..core.router import Router
 
 log = logging.getLogger("starlingthread")
@@ -17,9 +16,10 @@
 class PeerActor(asyncio.DatagramProtocol):
     """One socket for all peers; what comes goes into the module's mailbox. (Streams know no datagrams.)"""
 
-    def __init__(self, router: Router, counters: Counters, peers: list[tuple[str, int]],
-                 everyone: tuple[str, int] | None, me: int) -> None:
-        self.router, self.counters, self.peers, self.everyone, self.me = router, counters, peers, everyone, me
+    def __init__(self, router: Router, peers: list[tuple[str, int]], everyone: tuple[str, int] | None,
+                 me: int) -> None:
+        self.router, self.counters = router, router.counters
+        self.peers, self.everyone, self.me = peers, everyone, me
         self.number = {address: number for number, address in enumerate(peers)}
         self.transport: asyncio.DatagramTransport | None = None
 
--- a/starlingthread/net/registry.py
+++ b/starlingthread/net/registry.py
@@ -11,9 +11,8 @@
 import h11
 
 from .. import interface as api
-from ..core.actors import Clock, Mailbox, Watcher
-from ..core.counters import Counters
-from ..core.deadlines import Deadline, Deadlines
+from ..core.actors import Mailbox, Watcher
+from ..core.deadlines import Deadline
 from ..core.router import Listed, Router
 
 log = logging.getLogger("starlingthread")
@@ -94,10 +93,10 @@
 class RegistryActor:
     """Asks discovery when the module says so, and tells the module what came of it."""
 
-    def __init__(self, router: Router, reader: ListReader, address: tuple[str, int], clock: Clock,
-                 deadlines: Deadlines, counters: Counters, watcher: Watcher) -> None:
-        self.router, self.reader, self.address = router, reader, address
-        self.clock, self.deadlines, self.counters, self.watcher = clock, deadlines, counters, watcher
+    def __init__(self, router: Router, reader: ListReader, address: tuple[str, int],
+                 watcher: Watcher) -> None:
+        self.router, self.reader, self.address, self.watcher = router, reader, address, watcher
+        self.clock, self.counters, self.deadlines = router.clock, router.counters, router.deadlines
         self.mailbox: Mailbox[str] = Mailbox(100)
         self.index = 0  # version of the list that the module has
         self._watching: asyncio.Task[None] | None = None
--- a/starlingthread/net/servers.py
+++ b/starlingthread/net/servers.py
@@ -11,9 +11,8 @@
 from typing import NamedTuple, TypeAlias
 
 from .. import interface as api
-from ..core.actors import Clock, Mailbox, Watcher
-from ..core.counters import Counters
-from ..core.deadlines import Deadline, Deadlines
+from ..core.actors import Mailbox, Watcher
+from ..core.deadlines import Deadline
 from ..core.router import Attempt, Ended, Listed, Router
 from . import meta
 
@@ -335,10 +334,10 @@
 class ServerFleet:
     """Owns the actors of all cache servers that lists have named, and the budget of their connections."""
 
-    def __init__(self, settings: api.Settings, router: Router, clock: Clock, deadlines: Deadlines,
-                 counters: Counters, watcher: Watcher, most: int, idle_close: float) -> None:
-        self.router, self.clock, self.deadlines = router, clock, deadlines
-        self.counters, self.watcher, self.most = counters, watcher, most
+    def __init__(self, settings: api.Settings, router: Router, watcher: Watcher, most: int,
+                 idle_close: float) -> None:
+        self.router, self.watcher, self.most = router, watcher, most
+        self.clock, self.counters, self.deadlines = router.clock, router.counters, router.deadlines
         self.grace, self.connect_timeout = settings.drain_grace, settings.connect_timeout
         self.report_fields = settings.report_fields
         self.retire_after = idle_close * RETIRE_SHARE
--- /dev/null
+++ b/tests/test_meta.py
@@ -0,0 +1,129 @@
+"""The parsers of the meta protocol: valid messages in random cuts, and random garbage."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import TypeVar
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from starlingthread.net import meta
+from starlingthread.net.meta import Ask, Bad, Command, Kind
+
+T = TypeVar("T")
+FIXED = settings(derandomize=True, deadline=None, max_examples=150)
+HEX = st.text("0123456789abcdef", min_size=1, max_size=16)
+
+
+@st.composite
+def commands(draw: st.DrawFn) -> bytes:
+    key, rid, wait = draw(HEX), draw(HEX), draw(st.integers(0, 9999))
+    extra = draw(st.sampled_from(["", ",r=1", ",size=120.5", ",k=5c0f6e1a2b3d4c59"]))
+    if draw(st.booleans()):
+        return f"mg {key} v O{rid} Pc=read,d={wait}{extra}\r\n".encode()
+    value = draw(st.binary(max_size=300))
+    return f"ms {key} {len(value)} O{rid} Pc=put,d={wait}{extra}\r\n".encode() + value + b"\r\n"
+
+
+@st.composite
+def answers(draw: st.DrawFn) -> bytes:
+    load = draw(st.sampled_from(["", " Linflight=7,queue=2,x0=0.61"]))
+    rid, value = draw(HEX), draw(st.binary(max_size=300))
+    return draw(st.sampled_from([
+        f"VA {len(value)} O{rid} h0 Z{load}\r\n".encode() + value + b"\r\n",
+        f"HD O{rid} c1234{load}\r\n".encode(), f"SERVER_ERROR busy{load}\r\n".encode(),
+        f"SERVER_ERROR failed{load}\r\n".encode(), b"MN\r\n", b"STAT queue 3\r\nEND\r\n"]))
+
+
+def cut(feed: Callable[[bytes], Iterator[T]], data: bytes, places: list[int]) -> list[T]:
+    """Feed data cut at some places."""
+    ends = sorted({p % (len(data) + 1) for p in places} | {len(data)})
+    return [item for begin, end in zip([0, *ends], ends, strict=False) for item in feed(data[begin:end])]
+
+
+CUTS = st.lists(st.integers(0, 1 << 16), max_size=12)
+
+
+@FIXED
+@given(st.lists(commands(), min_size=1, max_size=5), CUTS)
+def test_commands_survive_any_cuts_and_pass_on_unchanged(sent: list[bytes], places: list[int]) -> None:
+    found = cut(meta.CommandParser().feed, b"".join(sent), places)
+    assert len(found) == len(sent)
+    for item, text in zip(found, sent, strict=True):
+        assert isinstance(item, Command)
+        begin, end = item.wait_at
+        assert b"".join(meta.pass_on(item, 77.9)) == text[:begin] + b"77" + text[end:]
+        assert item.wait == float(text[begin:end])
+
+
+@FIXED
+@given(st.lists(answers(), min_size=1, max_size=5), CUTS)
+def test_answers_are_the_same_in_any_cuts(sent: list[bytes], places: list[int]) -> None:
+    data = b"".join(sent)
+    found = cut(meta.AnswerParser().feed, data, places)
+    assert found == list(meta.AnswerParser().feed(data))
+    assert Kind.OTHER not in {a.kind for a in found}
+    assert len([a for a in found if a.kind != Kind.STAT]) == len(sent)
+
+
+GARBAGE = st.lists(st.one_of(
+    st.binary(max_size=200), commands(), answers(),
+    st.sampled_from([b"\r\n", b"ms k ", b"ms k 99999999 O1 Pd=1\r\n", b"VA 9", b"\n", b"mg " + b"k" * 3000])))
+
+
+@FIXED
+@given(GARBAGE, CUTS)
+def test_garbage_raises_nothing_and_is_not_hoarded(parts: list[bytes], places: list[int]) -> None:
+    data = b"".join(parts)
+    asked, answered = meta.CommandParser(), meta.AnswerParser()
+    for item in cut(asked.feed, data, places):
+        if isinstance(item, Bad):
+            assert item.line.endswith(b"\r\n")
+            assert item.line.startswith((b"CLIENT_ERROR", b"ERROR"))
+    cut(answered.feed, data, places)
+    assert asked._lines.unread() <= meta.MAX_VALUE + meta.MAX_HEAD
+
+
+@FIXED
+@given(st.binary(max_size=60).filter(lambda b: b"\r\n" not in b))
+def test_a_line_that_never_ends_is_cut_off(start: bytes) -> None:
+    items = list(meta.CommandParser().feed(start.replace(b"\r", b"x") + b"a" * meta.MAX_HEAD))
+    assert len(items) <= 1 and all(isinstance(i, Bad) and i.framing_lost for i in items)
+    assert items or len(start) == 0
+
+
+@pytest.mark.parametrize(("line", "lost"), [
+    (b"get k\r\n", False), (b"mg k v O1\r\n", False), (b"mg k v O1 Pc=read\r\n", False),
+    (b"mg k v O1 O2 Pc=read,d=5\r\n", False), (b"mg k v O1 Pd=-5\r\n", False), (b"mg  v\r\n", False),
+    (b"ms k x O1 Pc=put,d=5\r\n", True), (b"ms k 65537 O1 Pc=put,d=5\r\n", True),
+    (b"ms k 1 O1 Pc=put,d=5\r\nabc", True), (b"ms k 1 O1\r\na\r\n", False),
+])
+def test_bad_commands(line: bytes, lost: bool) -> None:
+    parser = meta.CommandParser()
+    (item,) = parser.feed(line)
+    assert isinstance(item, Bad) and item.framing_lost == lost
+    assert list(parser.feed(b"mn\r\n")) == ([] if lost else [Ask.READY])
+
+
+def test_what_an_answer_tells() -> None:
+    line = b"VA 5 O9b1f h1 Linflight=7,queue=2,util=0.61,odd=x\r\nhello\r\n"
+    (answer,) = meta.AnswerParser().feed(line)
+    assert (answer.kind, answer.id, answer.note) == (Kind.VALUE, b"9b1f", "h1")
+    assert answer.load == {"inflight": 7.0, "queue": 2.0, "util": 0.61}
+    assert b"".join(answer.text) == b"VA 5 O9b1f\r\nhello\r\n"
+    (receipt,) = meta.AnswerParser().feed(b"HD O9b1f c77 h0\r\n")
+    assert b"".join(receipt.text) == b"HD O9b1f c77\r\n"
+
+
+@pytest.mark.parametrize("line", [
+    b"VA x O1\r\n", b"VA 5\r\n", b"HD O1\r\n", b"HD c1\r\n", b"VA 99999 O1\r\n", b"\xff\xfe\r\n",
+    b"VALUE k 0 1\r\n"])
+def test_bad_answers(line: bytes) -> None:
+    assert [a.kind for a in meta.AnswerParser().feed(line)] == [Kind.OTHER]
+
+
+def test_a_refusal_says_when_to_come_back() -> None:
+    assert meta.busy_line(0.0) == b"SERVER_ERROR busy\r\n"
+    assert meta.busy_line(250.7) == b"SERVER_ERROR busy 250\r\n"
