Test the actors on hand-fed streams: one outcome, one answer, nothing unwanted written

New: test_router.py (the module's actor under random steps, deadlines, a failing and a forgetful module) and test_net.py (clients, server actors, lists, configuration), no sockets and no waiting, hypothesis derandomized.

--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,314 @@
+"""The actors on the sockets, with hand-fed streams: no socket, no waiting."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import subprocess
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from starlingthread import interface as api
+from starlingthread.core.actors import Watcher
+from starlingthread.core.router import Asked, Attempt, Ended, Failed, Gone, Refused, Served, Taken
+from starlingthread.net import meta, servers
+from starlingthread.net.clients import ClientActor, Front, key_number
+from starlingthread.net.registry import Ids, ListError, ListReader
+
+from .test_router import Place
+from .world import THROUGH
+
+
+class Transport:
+    """Stands for a socket; notes what is done to it."""
+
+    def __init__(self) -> None:
+        self.sent = bytearray()
+        self.gone = False
+
+    def is_closing(self) -> bool:
+        return self.gone
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def abort(self) -> None:
+        self.gone = True
+
+
+class Writer:
+    """Stands for a StreamWriter."""
+
+    def __init__(self) -> None:
+        self.transport = Transport()
+
+    def writelines(self, parts: tuple[bytes, ...]) -> None:
+        assert not self.transport.gone
+        self.transport.sent += b"".join(parts)
+
+    def close(self) -> None:
+        self.transport.gone = True
+
+
+# clients
+
+
+class Talk:
+    """A client's connection to a front whose router is never run: tests answer."""
+
+    def __init__(self) -> None:
+        place = Place()
+        self.router, self.watcher = place.router, Watcher()
+        self.front = Front(THROUGH, self.router, self.watcher, 10, lambda: place.router.listed)
+        self.reader, self.writer = asyncio.StreamReader(), Writer()
+        self.actor = ClientActor(self.front, self.reader, self.writer)  # type: ignore[arg-type]
+        self.front.actors.add(self.actor)
+        self.watcher.start(self.actor.run(), "client", lambda _: None)
+
+    async def settle(self) -> list[Any]:
+        for _ in range(12):
+            await asyncio.sleep(0)
+        return list(self.router.mailbox.take())
+
+
+def talk(script: Callable[[Talk], Any]) -> bytes:
+    """Run a script against a client actor; return what the client was sent."""
+    async def play() -> bytes:
+        now = Talk()
+        await script(now)
+        await now.settle()
+        await now.watcher.stop()
+        assert now.front.held == 0
+        return bytes(now.writer.transport.sent)
+
+    return asyncio.run(play())
+
+
+READS = b"mg a v O1 Pc=read,d=500\r\nmg b v O2 Pc=read,d=500\r\nmn\r\n"
+
+
+def test_answers_come_in_the_order_of_the_commands() -> None:
+    async def script(now: Talk) -> None:
+        now.reader.feed_data(READS)
+        first, second = (m.request for m in await now.settle())
+        now.actor.answer(second, Refused(250.0))
+        await now.settle()
+        assert not now.writer.transport.sent
+        value = meta.ServerAnswer(meta.Kind.VALUE, b"1", (b"VA 1 O1\r\n", b"x\r\n"))
+        now.actor.answer(first, Served(value))
+        now.actor.answer(first, Failed())  # a second answer is not sent
+
+    assert talk(script) == b"VA 1 O1\r\nx\r\nSERVER_ERROR busy 250\r\nMN\r\n"
+
+
+def test_a_client_that_leaves_withdraws_what_is_out() -> None:
+    async def script(now: Talk) -> None:
+        now.reader.feed_data(READS)
+        asked = await now.settle()
+        now.reader.feed_eof()
+        gone = await now.settle()
+        assert [m.request for m in gone] == [m.request for m in asked]
+        assert all(isinstance(m, Gone) for m in gone) and now.writer.transport.gone
+
+    talk(script)
+
+
+def test_lost_framing_is_answered_and_the_connection_closed() -> None:
+    async def script(now: Talk) -> None:
+        now.reader.feed_data(b"mg a v O1 Pc=what,d=5\r\nms k nine O1\r\nmn\r\n")
+        await now.settle()
+        assert now.writer.transport.gone
+
+    assert talk(script) == b"CLIENT_ERROR unknown class\r\nCLIENT_ERROR bad data length\r\n"
+
+
+def test_a_client_that_sends_on_and_on_is_not_read_past_its_share() -> None:
+    async def script(now: Talk) -> None:
+        now.reader.feed_data(b"mg a v O1 Pc=read,d=500\r\n" * 40)
+        assert len(await now.settle()) == 16
+        while now.actor.by_request:
+            now.actor.answer(next(iter(now.actor.by_request)), Failed())
+            await now.settle()
+
+    assert talk(script) == b"SERVER_ERROR failed\r\n" * 40
+
+
+def test_closing_waits_for_what_is_owed() -> None:
+    async def script(now: Talk) -> None:
+        now.reader.feed_data(READS[:26])
+        (message,) = await now.settle()
+        now.actor.shut_when_idle()
+        await now.settle()
+        assert isinstance(message, Asked) and not now.writer.transport.gone
+        now.actor.answer(message.request, Failed())
+        await now.settle()
+        assert now.writer.transport.gone
+
+    assert talk(script) == b"SERVER_ERROR failed\r\n"
+
+
+def test_a_key_is_the_same_number_everywhere() -> None:
+    assert key_number(b"7f3a9c21e0b4d655") == 0xd54b9bf28703f94e
+    assert key_number(b"a") == key_number(b"a") != key_number(b"b")
+
+
+# cache servers
+
+
+class Held:
+    """A server actor with one connection in its pool, driven message by message."""
+
+    def __init__(self) -> None:
+        self.place = Place()
+        self.fleet = servers.ServerFleet(THROUGH, self.place.router, Watcher(), 10, 15000.0)
+        self.actor = servers.ServerActor(self.fleet, 1, ("127.0.0.1", 1))
+        self.writer = Writer()
+        self.connection = servers.Connection(asyncio.StreamReader, self.writer)  # type: ignore[arg-type]
+        self.connection.idle_since = self.place.clock.now()
+        self.actor.idle.append(self.connection)
+        self.actor.open = 1
+
+    def attempt(self, text: bytes = b"mg a v O1 Pc=read,d=500\r\n") -> Attempt:
+        (command,) = meta.CommandParser().feed(text)
+        assert isinstance(command, meta.Command)
+        now = self.place.clock.now()
+        request = Taken(self.place, 0, 7, now + 500.0, command, is_write=command.is_write)
+        return Attempt(request, 0, 1, now, now + 400.0)
+
+    def take(self, message: servers.Message) -> list[Any]:
+        self.actor._take_in(message)
+        return list(self.place.router.mailbox.take())
+
+    def hear(self, data: bytes) -> list[Any]:
+        told = []
+        for answer in self.connection.parser.feed(data):
+            told += self.take(servers.Answered(self.connection, answer))
+        return told
+
+
+def test_a_command_goes_out_with_the_time_we_will_wait_and_the_connection_comes_back() -> None:
+    held, job = (h := Held()), h.attempt()
+    assert held.take(servers.Start(job)) == [] and not held.actor.idle
+    assert held.writer.transport.sent == b"mg a v O1 Pc=read,d=400\r\n"
+    (ended,) = held.hear(b"VA 1 O1 h0 Lutil=0.5,inflight=3\r\nx\r\n")
+    assert (ended.result, ended.note, ended.report) == (api.Result.OK, api.Note.MISS, (0.5, 3.0))
+    assert held.actor.idle == [held.connection] and not held.actor.busy
+
+
+@pytest.mark.parametrize(("line", "result", "kept"), [
+    (b"SERVER_ERROR busy\r\n", api.Result.FULL, True), (b"SERVER_ERROR failed\r\n", api.Result.ERROR, True),
+    (b"HD O1 c5\r\n", api.Result.ERROR, False), (b"VA 1 O2\r\nx\r\n", api.Result.ERROR, False),
+    (b"what\r\n", api.Result.ERROR, False),
+])
+def test_other_answers(line: bytes, result: api.Result, kept: bool) -> None:
+    held, job = (h := Held()), h.attempt()
+    held.take(servers.Start(job))
+    (ended,) = held.hear(line)
+    assert ended.result == result and (held.connection in held.actor.idle) == kept
+    assert held.writer.transport.gone != kept and held.actor.open == kept
+
+
+def test_a_break_after_the_write_may_have_run_and_an_idle_break_is_nobodys() -> None:
+    held, job = (h := Held()), h.attempt(b"ms a 1 O1 Pc=put,d=500\r\nx\r\n")
+    held.take(servers.Start(job))
+    (ended,) = held.take(servers.Broken(held.connection))
+    assert ended.result == api.Result.RESET and held.actor.open == 0
+    assert (idle := Held()).take(servers.Broken(idle.connection)) == [] and not idle.actor.idle
+
+
+@pytest.mark.parametrize("spoil", ["unwanted", "over", "late", "drained"])
+def test_nothing_is_written_that_is_not_to_be_any_more(spoil: str) -> None:
+    """Guards the moment before a write: time passed since the module decided."""
+    held, job = (h := Held()), h.attempt()
+    if spoil == "unwanted":
+        job.wanted = False
+    elif spoil == "over":
+        job.request.over = True
+    elif spoil == "late":
+        held.place.clock.time += 401.0
+    else:
+        held.actor.shut_at = held.place.clock.time - THROUGH.drain_grace + 50.0
+    assert [m.result for m in held.take(servers.Start(job))] == [api.Result.MOOT]
+    assert not held.writer.transport.sent
+
+
+def test_giving_up_closes_the_connection_and_idle_ones_are_retired_early() -> None:
+    held, job = (h := Held()), h.attempt()
+    held.take(servers.Start(job))
+    assert held.take(servers.Abandon(job)) == [] and held.writer.transport.gone
+    old = Held()
+    old.place.clock.time += 9000.0
+    old.take(servers.Retire(old.fleet.retire_after))
+    assert not old.writer.transport.gone
+    old.place.clock.time += 1000.0
+    old.take(servers.Retire(old.fleet.retire_after))
+    assert old.writer.transport.gone and old.actor.open == 0
+
+
+def test_a_stray_answer_closes_the_connection() -> None:
+    held = Held()
+    assert held.hear(b"MN\r\n") == [] and held.writer.transport.gone
+
+
+# discovery
+
+
+LINE = {"name": "s-1", "address": "127.0.0.1:11211", "zone": "b", "type": "m2", "group": 3,
+        "status": "in_service", "weight": 1.5, "since_ms": 17}
+
+
+def test_a_list_is_read_and_unknown_places_lie_behind_the_known() -> None:
+    reader = ListReader(("a", "b"), ("m1", "m2"))
+    odd = {**LINE, "name": "s-2", "zone": "x", "type": None, "status": "terminating"}
+    told = reader.read({"index": 4, "snapshot": False, "endpoints": [odd, LINE]})
+    one, two = told.event.members
+    assert one == api.Member(Ids().of("s-1"), 1, 1, 3, api.ServerState.READY, 1.5, 17.0)
+    assert (two.zone, two.kind, two.state) == (2, 2, api.ServerState.DRAINING)
+    assert told.event.kind == api.ListKind.DELTA and told.addresses[one.server] == ("127.0.0.1", 11211)
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(st.recursive(st.none() | st.integers() | st.text(max_size=5) | st.floats(), lambda inner: st.lists(
+    inner, max_size=3) | st.dictionaries(st.sampled_from([*LINE, "endpoints", "index", "snapshot"]), inner)))
+def test_any_json_is_a_list_or_a_list_error(raw: object) -> None:
+    for text in (raw, {"index": 1, "snapshot": True, "endpoints": [raw, {**LINE, "zone": raw}]}):
+        with contextlib.suppress(ListError):
+            assert ListReader(("a",), ("m1",)).read(text).event.kind in api.ListKind
+
+
+def test_ids_come_from_the_name_and_collisions_are_told_apart() -> None:
+    names = [f"s-{n}" for n in range(300)]
+    one, other = Ids(), Ids()
+    assert [one.of(n) for n in names] == [other.of(n) for n in reversed(names)][::-1]
+    crowded = Ids()
+    crowded._taken.add(Ids().of("s-1"))
+    assert crowded.of("s-1") != Ids().of("s-1") and crowded.of("s-1") == crowded.of("s-1") < 1 << 32
+
+
+# the program
+
+
+@pytest.mark.parametrize("text", [None, "{", "[]", "{}", json.dumps({"listen": "x", "settings": {}})])
+def test_a_bad_configuration_is_one_plain_line(text: str | None, tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    done = subprocess.run([sys.executable, "-m", "starlingthread"], capture_output=True, check=False,
+                          text=True, timeout=30, env={**os.environ, "LB_CONFIG": str(path)})
+    assert done.returncode == 1 and done.stdout == ""
+    assert done.stderr.count("\n") == 1 and done.stderr.startswith("starlingthread: ")
+
+
+def test_what_an_attempt_ends_with_is_told_once() -> None:
+    held, job = (h := Held()), h.attempt()
+    held.take(servers.Start(job))
+    told = held.hear(b"SERVER_ERROR busy\r\n") + held.take(servers.Abandon(job))
+    assert [type(m) for m in told] == [Ended]
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,194 @@
+"""The module's actor: one outcome per attempt, one answer per request, deadlines in order."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from starlingthread import interface as api
+from starlingthread.core.actors import Clock, Mailbox
+from starlingthread.core.counters import Counters
+from starlingthread.core.deadlines import Deadline, Deadlines
+from starlingthread.core.router import (
+    Answer, Asked, Attempt, Ended, Failed, Gone, Listed, Message, Refused, Router, Served, Taken,
+)
+
+from .world import KEYED, READ, THROUGH, UNSAFE, members
+
+
+class HandClock(Clock):
+    """A clock that tests turn."""
+
+    time = 1000.0
+
+    def now(self) -> float:
+        return self.time
+
+
+class Place:
+    """A router whose clients, fleet and discovery only take notes."""
+
+    def __init__(self, settings: api.Settings = THROUGH) -> None:
+        self.clock = HandClock()
+        self.router = Router(settings, 1, self.clock, Deadlines(), Counters())
+        self.router.fleet = self.router.registry = self.router.peers = self  # type: ignore[assignment]
+        self.started: list[Attempt] = []
+        self.abandoned: list[Attempt] = []
+        self.answers: list[tuple[Taken, Answer]] = []
+        fleet = tuple(m for m in members(4) if m.kind != 3)
+        self.give(Listed(api.MemberList(api.ListKind.CACHED, 1, fleet), {}))
+
+    def answer(self, request: Taken, answer: Answer) -> None:
+        self.answers.append((request, answer))
+
+    def listed(self, listing: Listed, now: float) -> None:
+        pass
+
+    def start(self, attempt: Attempt) -> None:
+        self.started.append(attempt)
+
+    def abandon(self, attempt: Attempt) -> None:
+        self.abandoned.append(attempt)
+
+    def give(self, message: Message) -> None:
+        self.router.mailbox.must_put(message)
+        while len(self.router.mailbox):
+            self.router.turn()
+
+    def ask(self, cls: int = READ, wait: float = 900.0) -> Taken:
+        request = Taken(self, cls, 7, self.clock.time + wait, b"payload", is_write=cls != READ)
+        self.give(Asked(request))
+        return request
+
+    def pass_time(self, span: float) -> None:
+        until = self.clock.time + span
+        while (first := self.router.deadlines.first()) is not None and first <= until:
+            self.clock.time = max(self.clock.time, first)
+            self.router.turn()
+            while len(self.router.mailbox):
+                self.router.turn()
+        self.clock.time = until
+
+
+def test_an_answer_goes_to_the_client_and_all_is_forgotten() -> None:
+    place = Place()
+    request = place.ask()
+    place.give(Ended(place.started[0], api.Result.OK, payload=b"value"))
+    assert place.answers == [(request, Served(b"value"))]
+    assert not place.router.requests and not place.router.attempts
+
+
+def test_a_late_outcome_is_dropped_and_an_abandoned_attempt_is_told_once() -> None:
+    place = Place()
+    request = place.ask()
+    place.pass_time(900.0)
+    assert place.abandoned == place.started and not place.started[0].wanted
+    assert place.answers == [(request, Refused(place.answers[0][1].retry_after))]  # type: ignore[union-attr]
+    place.give(Ended(place.started[0], api.Result.OK, payload=b"late"))
+    assert len(place.answers) == 1
+
+
+def test_an_answer_that_is_here_does_not_lose_to_its_limit() -> None:
+    """Guards the order of a turn: after a pause of the process both are due at once."""
+    place = Place()
+    request = place.ask()
+    place.router.mailbox.must_put(Ended(place.started[0], api.Result.OK, payload=b"v"))
+    place.clock.time += 2000.0
+    place.router.turn()
+    assert place.answers == [(request, Served(b"v"))]
+
+
+def test_a_client_that_left_gets_no_answer_and_its_attempt_is_given_up() -> None:
+    place = Place()
+    request = place.ask()
+    place.give(Gone(request))
+    assert place.answers == [] and place.abandoned == place.started
+    assert not place.router.requests
+
+
+@pytest.mark.parametrize("result", [api.Result.TIMEOUT, api.Result.RESET, api.Result.ERROR])
+def test_an_unsafe_request_that_may_have_run_is_never_sent_again(result: api.Result) -> None:
+    place = Place()
+    place.ask(UNSAFE)
+    place.give(Ended(place.started[0], result))
+    place.pass_time(2000.0)
+    assert len(place.started) == 1
+    assert [type(a) for _, a in place.answers] == [Failed]
+
+
+def test_a_module_that_fails_costs_the_request_only(monkeypatch: pytest.MonkeyPatch) -> None:
+    place = Place()
+    with monkeypatch.context() as patch:
+        patch.setattr(place.router.module, "handle", lambda *_: 1 // 0)
+        lost = place.ask()
+    assert place.answers == [(lost, Failed())]
+    place.ask()
+    assert len(place.started) == 1
+
+
+def test_a_module_that_forgets_is_answered_for(monkeypatch: pytest.MonkeyPatch) -> None:
+    place = Place()
+    monkeypatch.setattr(place.router.module, "handle", lambda *_: [])
+    request = place.ask(wait=300.0)
+    place.pass_time(400.0)
+    assert place.answers == [(request, Failed())]
+
+
+STEPS = st.lists(st.tuples(
+    st.sampled_from(["ask", "end", "gone", "time"]), st.integers(0, 9),
+    st.sampled_from(list(api.Result)[:7])), min_size=20, max_size=120)
+
+
+@settings(derandomize=True, deadline=None, max_examples=80)
+@given(STEPS)
+def test_every_request_gets_one_answer_at_most_and_in_time(steps: list[tuple[str, int, api.Result]]) -> None:
+    place, asked, left = Place(), [], set()
+    for what, pick, result in steps:
+        place.clock.time += 1.0
+        if what == "ask":
+            asked.append(place.ask((READ, KEYED, UNSAFE)[pick % 3], 100.0 + 200 * pick))
+        elif what == "end" and place.started:
+            place.give(Ended(place.started[-1 - pick % len(place.started)], result, payload=b"v"))
+        elif what == "gone" and asked:
+            request = asked[pick % len(asked)]
+            left |= set() if request.over else {request.id}
+            place.give(Gone(request))
+        else:
+            place.pass_time(30.0 * pick)
+    place.pass_time(5000.0)
+    assert sorted([r.id for r, _ in place.answers] + list(left)) == [r.id for r in asked]
+    assert not place.router.requests and not any(a.wanted for a in place.started)
+    assert all(r.sends <= THROUGH.max_attempts for r in asked)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.lists(st.tuples(st.floats(0, 100), st.booleans())))
+def test_deadlines_come_in_order_and_never_once_taken_back(items: list[tuple[float, bool]]) -> None:
+    deadlines, done = Deadlines(), []
+    entries: list[Deadline] = []
+    for at, _ in items:
+        entries.append(deadlines.set(at, lambda at=at: done.append(at)))  # type: ignore[misc]
+    for entry, (_, keep) in zip(entries, items, strict=True):
+        if not keep:
+            deadlines.clear(entry)
+    for now in (25.0, 50.0, 100.0):
+        deadlines.sweep(now)
+    assert done == sorted(at for at, keep in items if keep)
+    assert len(deadlines) == 0 and deadlines.first() is None
+
+
+def test_a_deadline_cleared_by_one_of_the_same_sweep_is_not_done() -> None:
+    deadlines, done = Deadlines(), []
+    later = Deadline(0.0, 0)
+    deadlines.set(1.0, lambda: deadlines.clear(later))
+    later = deadlines.set(2.0, lambda: done.append(2))
+    deadlines.sweep(3.0)
+    assert done == []
+
+
+def test_a_full_mailbox_takes_no_more_but_what_it_must() -> None:
+    box: Mailbox[int] = Mailbox(1)
+    assert box.put(1) and not box.put(2)
+    box.must_put(3)
+    assert list(box.take()) == [1, 3]
