Tell refused clients when to come back: about a fifth of the class's aim

Wanted: a request given up on is answered at once, with SERVER_ERROR busy MS. policy.py's _give_up refused without advice; _come_back now gives a pause of 0.1 to 0.3 of the aim, at most what the settings allow.

--- a/starlingthread/policy.py
+++ b/starlingthread/policy.py
@@ -40,6 +40,7 @@
 PRESSURE_GAIN = 1.5  # the origin may be asked for this many times what it serves, not for more
 MAX_WAITS = 2  # times that a write waits for a full origin before it is given up
 ASK_BACK_OFF = 500.0  # ms; first pause after a failed call for the list, doubled each time, jittered
+COME_BACK = 0.2  # of the aim; mean of the pause that a refused client is asked for: a retry can still earn
 EARLY = 5.0  # ms; a held request is answered this long before its client gives up
 MASK = (1 << 64) - 1
 ASK = 0  # timer label; the others are 1 + the id of a held request
@@ -561,11 +562,16 @@
         clean = tracked.out == 0 and tracked.ran_at < 0
         within = now - tracked.ran_at < tracked.cls.memory_span and tracked.cls.group == "all"
         if effect == Effect.REPEATABLE or clean or (effect == Effect.KEYED and within):
-            self.todo.append(Refuse(tracked.req.id))
+            self.todo.append(Refuse(tracked.req.id, self._come_back(tracked)))
         else:
             self.todo.append(Fail(tracked.req.id))
         self._close(now, tracked)
 
+    def _come_back(self, tracked: Tracked) -> float:
+        """Tell a refused client when to come again; spread by its id, that a crowd is not back in step."""
+        spread = 0.5 + mix(tracked.req.id) / MASK
+        return min(self.set.max_retry_after, COME_BACK * tracked.cls.aim * spread)
+
     def _close(self, now: float, tracked: Tracked) -> None:
         """The one place where a request ends; it is kept until its last attempt has come back."""
         if not tracked.ended:
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from starlingthread.interface import Result
+from starlingthread.interface import Refuse, Result
 
 from .world import ASIDE, ORIGIN, World, answers, members, only_send, sends
 
@@ -55,3 +55,10 @@
     world.end(late, Result.OK, elapsed=900.0)
     for _ in range(10):
         assert only_send(world.ask(7)).server not in (home, ORIGIN)
+
+
+def test_a_refused_client_is_told_when_to_come_back() -> None:
+    world = World(ASIDE._replace(max_retry_after=2000.0), ())
+    told = [refusal.retry_after for _ in range(20) for refusal in answers(world.ask()) if
+            isinstance(refusal, Refuse)]
+    assert len(told) == 20 and all(1.0 <= ms <= 2000.0 for ms in told) and len(set(told)) > 10
