--- a/starlingthread/__init__.py
+++ b/starlingthread/__init__.py
@@ -4,4 +4,4 @@
 from .interface import Settings
 
 __all__ = ["Balancer", "Settings", "__version__"]
-__version__ = "0.1.0"
+__version__ = "0.2.0"
--- a/starlingthread/net/clients.py
+++ b/starlingthread/net/clients.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import hashlib
-import logging
 from collections import deque
 from collections.abc import Callable
 
@@ -13,8 +12,6 @@
 from ..core.router import Answer, Asked, Gone, Refused, Router, Served, Taken
 from . import meta
 
-log = logging.getLogger("starlingthread")
-
 READ = 65536
 MAX_PIPELINED = 16  # commands of one connection that may be without their answer; then it is not read
 MAX_UNSENT = 65536  # bytes that a slow reader may leave unsent before its actor waits for it
--- a/starlingthread/net/peers.py
+++ b/starlingthread/net/peers.py
@@ -3,13 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 
 from .. import interface as api
 from ..core.router import Router
 
-log = logging.getLogger("starlingthread")
-
 MAX_MESSAGE = 256
 
 
--- a/starlingthread/net/registry.py
+++ b/starlingthread/net/registry.py
@@ -17,7 +17,7 @@
 
 log = logging.getLogger("starlingthread")
 
-SILENCE = 4000.0  # ms without a byte after which a call has failed; a watch says something every 2 s
+SILENCE = 3000.0  # ms without a byte after which a call has failed; a watch says something every 2 s
 MAX_LINE = 4 << 20  # bytes of one list
 STATES = {
     "in_service": api.ServerState.READY, "terminating": api.ServerState.DRAINING,
--- a/starlingthread/net/servers.py
+++ b/starlingthread/net/servers.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from typing import NamedTuple, TypeAlias
 
 from .. import interface as api
@@ -16,8 +15,6 @@
 from ..core.router import Attempt, Ended, Listed, Router
 from . import meta
 
-log = logging.getLogger("starlingthread")
-
 READ = 65536
 MAILBOX = 10000
 RETIRE_SHARE = 0.65  # of the server's idle limit: a write that crosses its close would be a reset
@@ -349,7 +346,8 @@
         now = self.clock.now()
         for number, actor in list(self.actors.items()):
             actor.mailbox.must_put(Retire(self.retire_after))
-            if actor.gone_at is not None and now - actor.gone_at > FORGET_AFTER and not actor.busy:
+            unused = not actor.busy and not actor.opening
+            if actor.gone_at is not None and now - actor.gone_at > FORGET_AFTER and unused:
                 self._end(number)
         self.deadlines.set(now + LOOK_EVERY, self._look)
 
--- a/starlingthread/policy.py
+++ b/starlingthread/policy.py
@@ -40,6 +40,7 @@
 PRESSURE_GAIN = 1.5  # the origin may be asked for this many times what it serves, not for more
 MAX_WAITS = 2  # times that a write waits for a full origin before it is given up
 ASK_BACK_OFF = 500.0  # ms; first pause after a failed call for the list, doubled each time, jittered
+MAX_ASK_DOUBLED = 2  # times that it is doubled: a drain counts as told before a pause of many seconds is over
 COME_BACK = 0.2  # of the aim; mean of the pause that a refused client is asked for: a retry can still earn
 EARLY = 5.0  # ms; a held request is answered this long before its client gives up
 MASK = (1 << 64) - 1
@@ -201,7 +202,8 @@
         if event.kind == ListKind.FAILED:
             self.subscribed = not self.set.must_ask
             if self.set.must_ask:
-                wait = ASK_BACK_OFF * float(1 << min(self.ask_fails, 4)) * self.rng.uniform(0.5, 1.5)
+                doubled = float(1 << min(self.ask_fails, MAX_ASK_DOUBLED))
+                wait = ASK_BACK_OFF * doubled * self.rng.uniform(0.5, 1.5)
                 self.ask_fails += 1
                 self.todo.append(SetTimer(now + wait, ASK))
             return
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,8 +9,8 @@
 from hypothesis import strategies as st
 
 from starlingthread.interface import (
-    Fail, FirstByte, ListKind, Member, MemberList, Outcome, Refuse, Result, Send, ServerState, Settings,
-    Withdrawn,
+    Fail, FirstByte, ListKind, Member, MemberList, Outcome, Refuse, Result, Send, ServerState, SetTimer,
+    Settings, Watch, Withdrawn,
 )
 
 from .world import (
@@ -229,3 +229,12 @@
     alone = _stream(ASIDE, 5)
     _stream(ASIDE, 6)
     assert _stream(ASIDE, 5) == alone
+
+
+def test_a_failed_list_is_asked_for_again_before_a_drain_counts_as_told() -> None:
+    """Guards the drain rule while discovery is down: pauses used to grow to twelve seconds."""
+    world = World(THROUGH._replace(must_ask=True), members(4))
+    for _ in range(12):
+        (timer,) = world.do(MemberList(ListKind.FAILED, 1))
+        assert isinstance(timer, SetTimer) and timer.at - world.now <= 3000.0
+        assert Watch(True) in world.pass_time(3000.0)
