Test that a client which reads nothing is cut off after its time

The cut-off in net/clients.py (_drain, _cut_off) had no test: a stuck reader would keep its answers and its descriptor for ever.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -33,12 +33,13 @@
     def __init__(self) -> None:
         self.sent = bytearray()
         self.gone = False
+        self.unsent = 0
 
     def is_closing(self) -> bool:
         return self.gone
 
     def get_write_buffer_size(self) -> int:
-        return 0
+        return self.unsent
 
     def abort(self) -> None:
         self.gone = True
@@ -54,6 +55,10 @@
         assert not self.transport.gone
         self.transport.sent += b"".join(parts)
 
+    async def drain(self) -> None:
+        while self.transport.unsent and not self.transport.gone:
+            await asyncio.sleep(0)
+
     def close(self) -> None:
         self.transport.gone = True
 
@@ -155,6 +160,20 @@
     assert talk(script) == b"SERVER_ERROR failed\r\n"
 
 
+def test_a_client_that_reads_nothing_is_cut_off() -> None:
+    async def script(now: Talk) -> None:
+        now.writer.transport.unsent = 1 << 20
+        now.reader.feed_data(b"mn\r\n")
+        await now.settle()
+        now.front.deadlines.sweep(now.front.clock.now() + 9000.0)
+        await now.settle()
+        assert not now.writer.transport.gone
+        now.front.deadlines.sweep(now.front.clock.now() + 10000.0)
+        assert now.writer.transport.gone and now.front.counters["clients.cut_off"] == 1
+
+    talk(script)
+
+
 def test_a_key_is_the_same_number_everywhere() -> None:
     assert key_number(b"7f3a9c21e0b4d655") == 0xd54b9bf28703f94e
     assert key_number(b"a") == key_number(b"a") != key_number(b"b")
