Reload on SIGHUP, contain spoilt answers and quiet clients, leave no server out for one failure

A server is now left out after failures in a row, each sent after the one before was known; a time-out counts as waiting only where nothing sent later was answered. Now silent, unfinished and idle connections end after 2 to 8 s, and who says nothing goes first. - servers.py _keep handed a connection back with bytes behind its answer; meta.py took 'busy' with anything behind it as proof that nothing ran, and half a load report as a report. An answer that stops short held its attempt until the deadline; it is now given up after 100 ms. - memory: policy.py kept all servers and 20,000 keys, registry.py all names, the actors of gone servers stayed 60 s.

--- a/starlingthread/__main__.py
+++ b/starlingthread/__main__.py
@@ -30,8 +30,14 @@
 
 STILL_ACCEPTING = 0.5  # s after SIGTERM in which new connections are still welcome
 LAST_ANSWERS = 4.5  # s after that in which what was taken may be finished
-SERVER_SHARE = 0.4  # of the descriptors for connections to cache servers
-CLIENT_SHARE = 0.5  # of them for clients; the rest is for discovery, peers, files and connects under way
+OWN_SOCKETS = 24  # descriptors for discovery, peers, files, and what is closed but not given back yet
+CLIENT_SHARE = 0.5  # of the rest for clients, whose requests need a third of all; the other half for servers
+OWN_MEMORY = 26  # MB that the program takes by itself; of what is left a part may hold values
+VALUE_SHARE = 0.3
+LEAST_HELD = 2  # MB
+# What a running router can't take over from a new file: bound sockets, and what the module began with.
+NEEDS_RESTART = (
+    "name", "listen", "sockets", "memory", "peer_listen", "settings", "zones", "kinds", "idle_close")
 
 
 class ConfigError(Exception):
@@ -41,11 +47,13 @@
 class Config(NamedTuple):
     """What this router is told."""
 
+    path: str
     name: str
     listen: tuple[str, int]
     discovery: tuple[str, int]
     seed: int
     sockets: int
+    memory: float
     peer_listen: tuple[str, int] | None
     peers: list[tuple[str, int]]
     peers_all: tuple[str, int] | None
@@ -61,10 +69,12 @@
     try:
         raw: dict[str, Any] = json.loads(Path(path).read_text())
         settings = raw["settings"]
+        limits = raw.get("limits", {})
         peer_listen, peers_all = raw.get("peer_listen"), raw.get("peers_all")
         return Config(
-            str(raw.get("name", "")), parse_address(raw["listen"]), parse_address(raw["discovery"]),
-            int(raw.get("seed", "0"), 16), int(raw.get("limits", {}).get("sockets", 1024)),
+            path, str(raw.get("name", "")), parse_address(raw["listen"]), parse_address(raw["discovery"]),
+            int(raw.get("seed", "0"), 16),
+            int(limits.get("sockets", 256)), float(limits.get("memory_mb", 32)),
             parse_address(peer_listen) if peer_listen else None,
             [parse_address(p) for p in raw.get("peers", ())],
             parse_address(peers_all) if peers_all else None, raw.get("known"), settings_of(settings),
@@ -93,13 +103,16 @@
         self.stop = asyncio.Event()
         self.code = 0
         self.router = Router(config.settings, config.seed, Clock(), Deadlines(), self.counters)
+        sockets = max(16, config.sockets - OWN_SOCKETS)
+        for_clients = int(sockets * CLIENT_SHARE)
+        held = int(max(LEAST_HELD, (config.memory - OWN_MEMORY) * VALUE_SHARE) * (1 << 20))
         self.fleet = ServerFleet(
-            config.settings, self.router, self.watcher, int(config.sockets * SERVER_SHARE), config.idle_close)
+            config.settings, self.router, self.watcher, sockets - for_clients, config.idle_close)
         self.registry = RegistryActor(
             self.router, ListReader(config.zones, config.kinds), config.discovery, self.watcher)
         self.peers = PeerActor(self.router, config.peers, config.peers_all, config.settings.me)
         self.front = Front(
-            config.settings, self.router, self.watcher, int(config.sockets * CLIENT_SHARE), self.ready)
+            config.settings, self.router, self.watcher, for_clients, held, self.ready)
         self.router.fleet, self.router.registry, self.router.peers = self.fleet, self.registry, self.peers
 
     def ready(self) -> bool:
@@ -123,12 +136,32 @@
                  len(self.front.actors), sum(a.open for a in self.fleet.actors.values()),
                  len(self.router.requests))
 
+    def reload(self) -> None:
+        """Read the configuration file anew. What can change while serving does; the rest waits for a restart.
+
+        Guards against the signal's own effect, which ends a program, and against a file that is no good.
+        """
+        try:
+            new = read_config(self.config.path)
+        except ConfigError as error:
+            self.counters.note("reloads.failed")
+            log.error("reload-failed why=%s", " ".join(str(error).split()))
+            return
+        self.counters.note("reloads.done")
+        # Always asked anew: whatever discovery has to tell counts as told soon, wherever it is now.
+        self.registry.move(new.discovery)
+        self.peers.move(new.peers, new.peers_all)
+        kept = [name for name in NEEDS_RESTART if getattr(new, name) != getattr(self.config, name)]
+        self.config = new._replace(**{name: getattr(self.config, name) for name in kept})
+        log.info("reloaded discovery=%s:%d needs-restart=%s", *new.discovery, ",".join(kept) or "nothing")
+
     async def run(self) -> int:
         """Serve until a signal, then finish what was taken."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop.set)
         loop.add_signal_handler(signal.SIGUSR1, self.summary)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         if self.config.known is not None:
             self.registry.known(self.config.known)
         self.router.begin()
--- a/starlingthread/net/clients.py
+++ b/starlingthread/net/clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import hashlib
+import socket
 from collections import deque
 from collections.abc import Callable
 
@@ -12,11 +13,19 @@
 from ..core.router import Answer, Asked, Gone, Refused, Router, Served, Taken
 from . import meta
 
-READ = 65536
+READ = 16384  # bytes read at once; twice as many may lie unread in a connection's reader
 MAX_PIPELINED = 16  # commands of one connection that may be without their answer; then it is not read
-MAX_UNSENT = 65536  # bytes that a slow reader may leave unsent before its actor waits for it
+MAX_MALFORMED = 8  # commands of one connection that make no sense; then it is closed
+MAX_UNSENT = 16384  # bytes that a slow reader may leave unsent before its actor waits for it
 STUCK = 10000.0  # ms for which a client may read nothing of what is written to it; then it is cut off
-MAX_HELD = 48 << 20  # bytes of values, of all clients together, past which new requests are turned away
+SILENT = 2000.0  # ms in which a new connection must say something, and after which any idle one may be closed
+MIDWAY = 2200.0  # ms in which a command must be whole from its first byte on
+IDLE = 8000.0  # ms after which an idle connection is closed even if descriptors are plenty
+CROWDED = 0.4  # of the descriptors for clients, from which on what is idle is closed as soon as it may be
+MUTE = 100.0  # ms after which a connection that has said nothing is the first to go when descriptors are out
+LOOK_EVERY = 200.0  # ms between looks for connections that are idle, silent or midway
+BACKLOG = 1024  # connections that the system may hold for us
+ACCEPT = 16  # of them that are taken at once, so that what is closed for them is given back in between
 ANSWER_EARLY = 4.0  # ms; d runs from the client's send, and the answer has to travel back as well
 IDLE_ROUNDS = 0.05  # s between looks at what is still open, at the end
 
@@ -52,6 +61,8 @@
         self.lost = False  # nobody knows where its next command begins
         self.room = asyncio.Event()
         self.used_at = front.clock.now()
+        self.began_at: float | None = None  # when the command that is not whole yet began
+        self.asked = self.malformed = 0  # whole commands so far, and those that made no sense
 
     # reading
 
@@ -67,7 +78,14 @@
                     while len(self.slots) >= MAX_PIPELINED:
                         self.room.clear()
                         await self.room.wait()
+                    self.began_at = None
                     self._take(item)
+                    if self.lost:
+                        break
+                if not self.parser.is_midway():
+                    self.began_at = None
+                elif self.began_at is None:
+                    self.began_at = self.front.clock.now()
         except OSError:
             self.front.counters.note("clients.reset")
         self.ended = not self.lost
@@ -77,21 +95,29 @@
         slot, front = Slot(), self.front
         self.slots.append(slot)
         self.used_at = front.clock.now()
+        self.asked += 1
         if isinstance(item, meta.Command):
             cls = front.classes.get(item.fields.get("c", ""))
             if cls is None:
                 front.counters.note("clients.unknown_class")
-                self._put(slot, b"CLIENT_ERROR unknown class\r\n")
+                self._malformed(slot, meta.bad("unknown class"))
                 return
+            if item.id in front.open_ids:
+                # Guards the request that is open: two of one id could not be told apart, here or at a server.
+                front.counters.note("clients.id_taken")
+                self._malformed(slot, meta.bad("id in use"))
+                return
+            front.open_ids.add(item.id)
             size = item.fields.get("size", "")
+            wait = min(item.wait, front.longest[cls])  # nobody waits longer than the class lets them
             request = Taken(
-                self, cls, key_number(item.key), self.used_at + item.wait - ANSWER_EARLY, item,
+                self, cls, key_number(item.key), self.used_at + wait - ANSWER_EARLY, item,
                 size=float(size) if meta.NUMBER.fullmatch(size) else 0.0,
                 is_retry=item.fields.get("r") == "1", is_write=item.is_write)
             slot.request = request
             self.by_request[request] = slot
             self._hold(slot, len(item.value or b""))
-            if front.held > MAX_HELD:
+            if front.held > front.most_held:
                 front.counters.note("requests.memory_full")
                 self.answer(request, Refused())
             elif not front.router.mailbox.put(Asked(request)):
@@ -99,13 +125,43 @@
                 self.answer(request, Refused())
         elif isinstance(item, meta.Bad):
             front.counters.note("clients.malformed")
-            slot.last = self.lost = item.framing_lost
-            self._put(slot, item.line)
+            self._malformed(slot, item)
         elif item is meta.Ask.READY:
             self._put(slot, meta.READY_LINE if front.ready() else meta.STARTING_LINE)
         else:
             self._put(slot, meta.ERROR_LINE)
 
+    def _malformed(self, slot: Slot, item: meta.Bad) -> None:
+        """Answer what makes no sense. Who sends nothing else is not listened to for ever."""
+        self.malformed += 1
+        slot.last = self.lost = item.framing_lost or self.malformed >= MAX_MALFORMED
+        self._put(slot, item.line)
+
+    def look(self, now: float, crowded: bool) -> None:
+        """Close what is silent, midway or idle for too long: it holds a descriptor and memory for nothing."""
+        if self.lost or self.ended:
+            return
+        if self.began_at is not None:
+            if now - self.began_at >= MIDWAY and len(self.slots) < MAX_PIPELINED:
+                self.front.counters.note("clients.midway")
+                slot = Slot()
+                self.slots.append(slot)
+                self._malformed(slot, meta.bad("command not finished", True))
+            return
+        allowed = SILENT if crowded or not self.asked else IDLE
+        if not self.closing and not self.slots and now - self.used_at >= allowed:
+            self.front.counters.note("clients.idle_closed" if self.asked else "clients.silent_closed")
+            self.shut_when_idle()
+
+    def spare(self, now: float) -> tuple[int, float] | None:
+        """Return its rank among those that may go when descriptors are out, least first; None if it stays."""
+        if self.slots or self.closing or self.began_at is not None:
+            return None
+        idle = now - self.used_at
+        if not self.asked:
+            return (0, self.used_at) if idle >= MUTE else (3, self.used_at)
+        return (1 if idle >= SILENT else 2, self.used_at)
+
     # answering
 
     def answer(self, request: Taken, answer: Answer) -> None:
@@ -113,6 +169,7 @@
         slot = self.by_request.pop(request, None)
         if slot is None:
             return
+        self._give_back_id(request)
         request.over = True
         if isinstance(answer, Served) and isinstance(answer.payload, meta.ServerAnswer):
             self._put(slot, *answer.payload.text)
@@ -121,6 +178,10 @@
         else:
             self._put(slot, meta.FAILED_LINE)
 
+    def _give_back_id(self, request: Taken) -> None:
+        if isinstance(request.payload, meta.Command):
+            self.front.open_ids.discard(request.payload.id)
+
     def _hold(self, slot: Slot, size: int) -> None:
         self.front.held += size - slot.size
         slot.size = size
@@ -145,7 +206,7 @@
                     self.room.set()
                     if slot.last:
                         return
-                if self.ended or (self.closing and not self.slots):
+                if self.ended or (self.closing and not self.slots and self.began_at is None):
                     return
                 if self.writer.transport.get_write_buffer_size() > MAX_UNSENT:
                     await self._drain()
@@ -176,6 +237,7 @@
     def close(self) -> None:
         """The one place where a client's connection is given back; what is still out is withdrawn."""
         for request in list(self.by_request):
+            self._give_back_id(request)
             self.front.router.mailbox.must_put(Gone(request))
         self.by_request.clear()
         for slot in self.slots:
@@ -195,32 +257,57 @@
 class Front:
     """Accepts clients and owns their actors."""
 
-    def __init__(self, settings: api.Settings, router: Router, watcher: Watcher, most: int,
+    def __init__(self, settings: api.Settings, router: Router, watcher: Watcher, most: int, most_held: int,
                  ready: Callable[[], bool]) -> None:
         self.router, self.watcher = router, watcher
         self.clock, self.counters, self.deadlines = router.clock, router.counters, router.deadlines
         self.held = 0  # bytes of values that all slots hold
+        self.most, self.most_held, self.ready = most, most_held, ready
         self.classes = {cls.name: number for number, cls in enumerate(settings.classes)}
-        self.most, self.ready = most, ready
+        self.longest = [cls.deadline for cls in settings.classes]
+        self.open_ids: set[bytes] = set()  # of the requests that are owed an answer
         self.actors: set[ClientActor] = set()
         self._server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> None:
         """Begin to accept."""
-        self._server = await asyncio.start_server(self._accept, host, port, limit=READ, backlog=1024)
+        listening = socket.create_server((host, port), backlog=BACKLOG)
+        self._server = await asyncio.start_server(self._accept, sock=listening, limit=READ, backlog=ACCEPT)
+        # asyncio has one figure for both what the system holds and what is taken at once.
+        listening.listen(BACKLOG)
+        self._look()
+
+    def _look(self) -> None:
+        now = self.clock.now()
+        crowded = len(self.actors) > self.most * CROWDED
+        for actor in list(self.actors):
+            actor.look(now, crowded)
+        self.deadlines.set(now + LOOK_EVERY, self._look)
 
     def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.counters.note("clients.accepted")
+        if len(self.actors) >= self.most and not self._make_room():
+            self.counters.note("clients.turned_away")
+            writer.transport.abort()
+            return
         actor = ClientActor(self, reader, writer)
         self.actors.add(actor)
-        if len(self.actors) > self.most:
-            # Guards the descriptor limit: the client quiet longest opens a new connection if need be.
-            quiet = [a for a in self.actors if not a.slots and not a.closing]
-            if quiet:
-                self.counters.note("clients.shed")
-                min(quiet, key=lambda a: a.used_at).shut_when_idle()
         self.watcher.start(actor.run(), "client", lambda _: actor.close())
 
+    def _make_room(self) -> bool:
+        """Close one connection that asks for nothing, the least useful first. Guards the descriptor limit.
+
+        Whoever opens connections and says nothing loses them to those who ask.
+        """
+        now = self.clock.now()
+        ranked = [(rank, actor) for actor in self.actors if (rank := actor.spare(now)) is not None]
+        if not ranked:
+            return False
+        actor = min(ranked, key=lambda pair: pair[0])[1]
+        self.counters.note("clients.shed")
+        actor.shut_when_idle()
+        return True
+
     async def drain(self) -> None:
         """Accept no more; close each connection once nothing is owed on it; return when all are closed."""
         if self._server is not None:
--- a/starlingthread/net/meta.py
+++ b/starlingthread/net/meta.py
@@ -23,6 +23,10 @@
 FLAG_LIST = re.compile(rb" P([!-~]+)(?= |$)")
 WAIT = re.compile(rb"(?:^|,)d=(\d{1,9}(?:\.\d{1,9})?)(?=,|$)")
 NUMBER = re.compile(r"\d{1,15}(?:\.\d{1,9})?")
+FIGURE = re.compile(rb"\d{1,6}(?:\.\d{1,9})?")  # of a load report; no server holds a million requests
+FIELD = re.compile(rb"[a-z0-9_]{1,32}")
+RECEIPT = re.compile(rb"c[!-~]{1,64}")
+BUSY_PAUSE = re.compile(rb"\d{1,9}")
 
 
 class Command(NamedTuple):
@@ -125,10 +129,15 @@
 
     def __init__(self) -> None:
         self._lines = _Lines()
-        self._head: Command | Bad | None = None  # of an ms whose value is not whole yet
+        self._head: Command | None = None  # of an ms whose value is not whole yet
         self._size = 0
+        self._skip = 0  # bytes of the value of an ms that was answered already
         self._lost = False
 
+    def is_midway(self) -> bool:
+        """Whether a part of a command has come, and not yet the rest."""
+        return self._head is not None or self._skip > 0 or self._lines.unread() > 0
+
     def feed(self, data: bytes) -> Iterator[Input]:
         """Take in some bytes; give what is whole. After framing is lost the rest is dropped."""
         if self._lost:
@@ -142,6 +151,14 @@
                 return
 
     def _next(self) -> Input | None:
+        if self._skip:
+            # The value of a hopeless head is dropped as it comes; if it doesn't end as it said, all is lost.
+            self._skip -= len(self._lines.block(min(self._skip - 2, self._lines.unread())) or b"")
+            if self._skip > 2 or (end := self._lines.block(2)) is None:
+                return None
+            self._skip = 0
+            if end != CRLF:
+                return bad("bad data chunk", True)
         if self._head is None:
             line = self._lines.line()
             # Guards memory: a peer that never ends its line is cut off, as is one whose line is too long.
@@ -162,14 +179,18 @@
                 return bad("bad data length", True)  # nobody knows where the value ends
             if int(length.group(1)) > MAX_VALUE:
                 return bad("value too large", True)
-            self._head, self._size = parse_head(line), int(length.group(1)) + 2
+            head = parse_head(line)
+            if isinstance(head, Bad):
+                self._skip = int(length.group(1)) + 2
+                return head
+            self._head, self._size = head, int(length.group(1)) + 2
         value = self._lines.block(self._size)
         if value is None:
             return None
         head, self._head = self._head, None
         if not value.endswith(CRLF):
             return bad("bad data chunk", True)
-        return head if isinstance(head, Bad) else head._replace(value=value)
+        return head._replace(value=value)
 
 
 def pass_on(command: Command, wait: float) -> tuple[bytes, ...]:
@@ -202,13 +223,14 @@
     load: dict[str, float] | None = None
 
 
-def parse_load(text: str) -> dict[str, float]:
-    """Return the figures of a load report; what is no number is passed over."""
+def parse_load(text: bytes) -> dict[str, float] | None:
+    """Return the figures of a load report, or None if any of it can't be read: then none is believed."""
     load = {}
-    for item in text.split(","):
-        name, _, value = item.partition("=")
-        if NUMBER.fullmatch(value):
-            load[name] = float(value)
+    for item in text.split(b","):
+        name, _, value = item.partition(b"=")
+        if not FIGURE.fullmatch(value) or not FIELD.fullmatch(name):
+            return None
+        load[name.decode("ascii")] = float(value)
     return load
 
 
@@ -221,6 +243,10 @@
         self._size = 0
         self._lost = False
 
+    def is_midway(self) -> bool:
+        """Whether there is more than whole answers: a part of one, or what nobody asked for."""
+        return self._value is not None or self._lines.unread() > 0
+
     def feed(self, data: bytes) -> Iterator[ServerAnswer]:
         """Take in some bytes; give what is whole. After OTHER the connection is of no more use, nor the rest.
 
@@ -253,41 +279,48 @@
 
     def _line(self, line: bytes) -> ServerAnswer:
         other = ServerAnswer(Kind.OTHER, text=(line[:80],))
-        if not line.isascii():
-            return other
-        words = line.decode("ascii").split(" ")
+        words = line.split(b" ")
         load = None
-        if words[-1].startswith("L") and "=" in words[-1]:
-            load = parse_load(words.pop()[1:])
-        if words == ["MN"]:
-            return ServerAnswer(Kind.READY, load=load)
-        if words == ["END"]:
-            return ServerAnswer(Kind.END)
-        if words[0] == "STAT" and len(words) == 3:
-            return ServerAnswer(Kind.STAT, load=parse_load(f"{words[1]}={words[2]}"))
-        if words[:2] == ["SERVER_ERROR", "busy"]:
-            return ServerAnswer(Kind.BUSY, load=load)
-        if words[0] == "SERVER_ERROR":
-            return ServerAnswer(Kind.FAILED, load=load)
-        if words[0] == "VA" and len(words) > 2 and words[1].isdigit() and len(words[1]) < 7:
+        if len(words) > 1 and words[-1][:1] == b"L":
+            load = parse_load(words.pop()[1:])  # one that can't be read spoils nothing but itself
+        first, flags = words[0], words[1:]
+        if first == b"VA" and len(words) > 2 and words[1].isdigit() and len(words[1]) < 7:
             size, flags = int(words[1]), words[2:]
-        elif words[0] == "HD":
-            size, flags = -1, words[1:]
+        elif first == b"HD":
+            size = -1
         else:
-            return other
-        ids, receipts = [w for w in flags if w[:1] == "O"], [w for w in flags if w[:1] == "c"]
-        hits = [w for w in flags if w in ("h0", "h1")]
-        note = hits[0] + (" Z" if "Z" in flags else "") if hits else ""
+            return self._plain_line(words, load) or other
+        ids, receipts = [w for w in flags if w[:1] == b"O"], [w for w in flags if w[:1] == b"c"]
         if len(ids) != 1 or size > MAX_VALUE:
             return other
-        rid = ids[0].encode()
+        rid = ids[0]
+        hits = [w for w in flags if w in (b"h0", b"h1")]
+        note = hits[0].decode() + (" Z" if b"Z" in flags else "") if hits else ""
         if size >= 0:
             self._size = size + 2
             return ServerAnswer(Kind.VALUE, rid[1:], (b"VA %d %b\r\n" % (size, rid),), note, load)
-        if len(receipts) != 1:
+        if len(receipts) != 1 or not RECEIPT.fullmatch(receipts[0]):
             return other
-        return ServerAnswer(
-            Kind.RECEIPT, rid[1:], (b"HD %b %b\r\n" % (rid, receipts[0].encode()),), note, load)
+        return ServerAnswer(Kind.RECEIPT, rid[1:], (b"HD %b %b\r\n" % (rid, receipts[0]),), note, load)
+
+    def _plain_line(self, words: list[bytes], load: dict[str, float] | None) -> ServerAnswer | None:
+        """Read a line that holds no value and no receipt; None if it says nothing we know.
+
+        Guards the never-twice rule: 'busy' proves that a request never ran, so it must say that and no more.
+        """
+        first = words[0]
+        if first == b"SERVER_ERROR" and words[1:2] == [b"busy"] and (
+                len(words) == 2 or (len(words) == 3 and BUSY_PAUSE.fullmatch(words[2]))):
+            return ServerAnswer(Kind.BUSY, load=load)
+        if words == [b"SERVER_ERROR", b"failed"]:
+            return ServerAnswer(Kind.FAILED, load=load)
+        if words == [b"MN"]:
+            return ServerAnswer(Kind.READY, load=load)
+        if words == [b"END"]:
+            return ServerAnswer(Kind.END)
+        if first == b"STAT" and len(words) == 3:
+            return ServerAnswer(Kind.STAT, load=parse_load(words[1] + b"=" + words[2]))
+        return None
 
 
 READY_LINE = b"MN" + CRLF
--- a/starlingthread/net/peers.py
+++ b/starlingthread/net/peers.py
@@ -15,11 +15,15 @@
 
     def __init__(self, router: Router, peers: list[tuple[str, int]], everyone: tuple[str, int] | None,
                  me: int) -> None:
-        self.router, self.counters = router, router.counters
-        self.peers, self.everyone, self.me = peers, everyone, me
-        self.number = {address: number for number, address in enumerate(peers)}
+        self.router, self.counters, self.me = router, router.counters, me
+        self.move(peers, everyone)
         self.transport: asyncio.DatagramTransport | None = None
 
+    def move(self, peers: list[tuple[str, int]], everyone: tuple[str, int] | None) -> None:
+        """Take over the addresses of the others."""
+        self.peers, self.everyone = peers, everyone
+        self.number = {address: number for number, address in enumerate(peers)}
+
     async def listen(self, host: str, port: int) -> None:
         """Open the socket."""
         loop = asyncio.get_running_loop()
--- a/starlingthread/net/registry.py
+++ b/starlingthread/net/registry.py
@@ -6,7 +6,8 @@
 import hashlib
 import json
 import logging
-from typing import Any
+from collections.abc import Collection
+from typing import Any, NamedTuple, TypeAlias
 
 import h11
 
@@ -18,6 +19,7 @@
 log = logging.getLogger("starlingthread")
 
 SILENCE = 3000.0  # ms without a byte after which a call has failed; a watch says something every 2 s
+CONNECT = 1000.0  # ms in which discovery must accept; a machine that is gone says nothing at all
 MAX_LINE = 4 << 20  # bytes of one list
 STATES = {
     "in_service": api.ServerState.READY, "terminating": api.ServerState.DRAINING,
@@ -37,6 +39,11 @@
         self._by_name: dict[str, int] = {}
         self._taken: set[int] = set()
 
+    def keep(self, numbers: Collection[int]) -> None:
+        """Forget all names but those of these servers. Guards memory where servers come and go all day."""
+        self._by_name = {name: number for name, number in self._by_name.items() if number in numbers}
+        self._taken = set(self._by_name.values())
+
     def of(self, name: str) -> int:
         """Return the id of a name. On a collision of 32 bits the name that came later is hashed again."""
         number = self._by_name.get(name)
@@ -90,6 +97,15 @@
         return Listed(api.MemberList(kind, int(raw["index"]), tuple(members)), addresses)
 
 
+class Move(NamedTuple):
+    """Message: discovery has another address."""
+
+    address: tuple[str, int]
+
+
+Message: TypeAlias = str | Move  # "watch", "stop" and "fetch" are what the module asks for
+
+
 class RegistryActor:
     """Asks discovery when the module says so, and tells the module what came of it."""
 
@@ -97,18 +113,23 @@
                  watcher: Watcher) -> None:
         self.router, self.reader, self.address, self.watcher = router, reader, address, watcher
         self.clock, self.counters, self.deadlines = router.clock, router.counters, router.deadlines
-        self.mailbox: Mailbox[str] = Mailbox(100)
+        self.mailbox: Mailbox[Message] = Mailbox(100)
         self.index = 0  # version of the list that the module has
+        self.wanted = False  # whether the module wants to hear of changes
+        self._listed: set[int] = set()  # servers of that list
         self._watching: asyncio.Task[None] | None = None
+        self._fetching: set[asyncio.Task[None]] = set()
 
     def known(self, raw: object) -> None:
         """Tell the module the list from the configuration."""
         listing = self.reader.read(raw, api.ListKind.CACHED)
         self.index = listing.event.version
+        self._listed = {m.server for m in listing.event.members}
         self.router.mailbox.must_put(listing)
 
     def watch(self, active: bool) -> None:
         """Ask for changes from now on, or no longer."""
+        self.wanted = active
         if not self.mailbox.put("watch" if active else "stop"):
             self._failed("mailbox full")
 
@@ -117,20 +138,39 @@
         if not self.mailbox.put("fetch"):
             self._failed("mailbox full")
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Discovery has another address: leave the old one and ask there, at once."""
+        self.mailbox.must_put(Move(address))
+
     async def run(self) -> None:
         """Take what the module asks for."""
         while True:
             for message in self.mailbox.take():
-                if message != "fetch" and self._watching is not None:
-                    self._watching.cancel()
-                    self._watching = None
-                if message == "watch":
-                    path = f"{LIST_PATH}?watch=1&after={self.index}"
-                    self._watching = self._call(path, watch=True)
-                elif message == "fetch":
-                    self._call(LIST_PATH, watch=False)
+                self._take_in(message)
             await self.mailbox.wait()
 
+    def _take_in(self, message: Message) -> None:
+        if isinstance(message, Move):
+            self.address = message.address
+            # Guards against a watch at the old address that lives on or ends later: neither its lists nor its
+            # end are told any more. What was asked there is asked anew, as its answer may never come.
+            fetches = len(self._fetching)
+            for task in self._fetching:
+                task.cancel()
+            self._fetching.clear()
+            for again in (["watch"] if self.wanted else []) + ["fetch"] * fetches:
+                self._take_in(again)
+        elif message == "fetch":
+            task = self._call(LIST_PATH, watch=False)
+            self._fetching.add(task)
+            task.add_done_callback(self._fetching.discard)
+        else:
+            if self._watching is not None:
+                self._watching.cancel()
+                self._watching = None
+            if message == "watch":
+                self._watching = self._call(f"{LIST_PATH}?watch=1&after={self.index}", watch=True)
+
     def _call(self, path: str, watch: bool) -> asyncio.Task[None]:
         self.counters.note("registry.watches" if watch else "registry.fetches")
         return self.watcher.start(
@@ -161,10 +201,12 @@
             silence = self.deadlines.set(self.clock.now() + SILENCE, too_silent)
 
         try:
+            address = self.address
+            silence = self.deadlines.set(self.clock.now() + CONNECT, too_silent)
+            stream, writer = await asyncio.open_connection(*address)
             heard()
-            stream, writer = await asyncio.open_connection(*self.address)
             http = h11.Connection(h11.CLIENT)
-            host = f"{self.address[0]}:{self.address[1]}"
+            host = f"{address[0]}:{address[1]}"
             writer.write(http.send(h11.Request(method="GET", target=path, headers=[("Host", host)])) or b"")
             writer.write(http.send(h11.EndOfMessage()) or b"")
             rest = bytearray()
@@ -212,7 +254,13 @@
             raise ListError(f"bad JSON: {error}") from None
         listing = self.reader.read(raw)
         if listing.event.kind == api.ListKind.DELTA and listing.event.version < self.index:
-            raise ListError(f"changes for version {listing.event.version}, we have {self.index}")
+            known, self.index = self.index, 0  # it counts anew: the next call asks for the whole list
+            raise ListError(f"changes for version {listing.event.version}, we have {known}")
         self.index = listing.event.version
+        event = listing.event
+        gone = {m.server for m in event.members if m.state == api.ServerState.GONE}
+        told = {m.server for m in event.members} - gone
+        self._listed = told if event.kind != api.ListKind.DELTA else (self._listed | told) - gone
+        self.reader.ids.keep(self._listed)
         self.counters.note("registry.lists")
         self.router.mailbox.must_put(listing)
--- a/starlingthread/net/servers.py
+++ b/starlingthread/net/servers.py
@@ -20,7 +20,10 @@
 RETIRE_SHARE = 0.65  # of the server's idle limit: a write that crosses its close would be a reset
 LOOK_EVERY = 1000.0  # ms between looks for connections to retire
 DRAIN_MARGIN = 100.0  # ms before the end of the drain grace from which we write nothing more
-FORGET_AFTER = 60000.0  # ms after which the actor of a server that is gone is ended
+FORGET_AFTER = 2000.0  # ms after which the actor of a server that is gone is ended
+STALL = 100.0  # ms for which a part of an answer may wait for the rest of it; it is looked at twice
+REST = 3.0  # ms for which a connection rests before it is used again, if another one is at hand
+DOUBT = 50.0  # ms after an answer in which a 'busy' may be a stray line behind it
 PROBE_WAIT = 50.0  # ms in which a probe must be answered
 NOTES = {"h1": api.Note.HIT, "h0": api.Note.MISS, "h0 Z": api.Note.FETCH_OUT}
 
@@ -39,15 +42,26 @@
 class Connection:
     """One connection to a cache server; its actor owns it."""
 
-    __slots__ = ("busy", "closed", "idle_since", "parser", "reader", "writer")
+    __slots__ = ("address", "answered_at", "busy", "closed", "idle_since", "owed", "parser", "reader",
+                 "spoilt", "stall", "written_at", "writer")
 
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.reader, self.writer = reader, writer
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
+                 address: tuple[str, int]) -> None:
+        self.reader, self.writer, self.address = reader, writer, address
         self.parser = meta.AnswerParser()
         self.busy: Attempt | Probing | None = None
-        self.idle_since = 0.0
+        self.owed = False  # something was written that is not answered yet
+        self.spoilt = False  # more has come than was owed: nobody knows what comes next
+        self.idle_since = self.written_at = 0.0
+        self.answered_at = -DOUBT
+        self.stall: Deadline | None = None  # when the rest of a part of an answer must be here
         self.closed = False
 
+    def is_fresh(self, address: tuple[str, int]) -> bool:
+        """Whether it can still carry a request: not spoilt, not ended, and to the server's address of now."""
+        return not (self.spoilt or self.closed or self.reader.at_eof() or self.writer.transport.is_closing()
+                    or self.address != address)
+
 
 class Start(NamedTuple):
     """Message: make an attempt, or a probe."""
@@ -82,9 +96,16 @@
 
 
 class Broken(NamedTuple):
-    """Message: a connection has ended."""
+    """Message: a connection has ended, or what comes on it belongs to nothing."""
+
+    connection: Connection
+
+
+class Stalled(NamedTuple):
+    """Message: a part of an answer has come and then nothing; sure when it is looked at again."""
 
     connection: Connection
+    sure: bool
 
 
 class Retire(NamedTuple):
@@ -93,7 +114,7 @@
     idle: float
 
 
-Message: TypeAlias = Start | Abandon | ConnectLate | Opened | Answered | Broken | Retire
+Message: TypeAlias = Start | Abandon | ConnectLate | Opened | Answered | Broken | Stalled | Retire
 
 
 class ServerActor:
@@ -127,6 +148,8 @@
             self._abandon(message.job)
         elif isinstance(message, Broken):
             self._broken(message.connection)
+        elif isinstance(message, Stalled):
+            self._stalled(message.connection, message.sure)
         elif isinstance(message, ConnectLate):
             if self._stop_opening(message.job):
                 self.fleet.counters.note("connections.late")
@@ -149,8 +172,8 @@
     def _start(self, job: Attempt | Probing) -> None:
         if not self._is_wanted(job):
             self._report(job, api.Result.MOOT)
-        elif self.idle:
-            self._write(self.idle.pop(), job)
+        elif (connection := self._take_idle()) is not None:
+            self._write(connection, job)
         elif not self.fleet.make_room():
             self.fleet.counters.note("connections.no_room")
             self._report(job, api.Result.CONNECT_FAILED)
@@ -161,16 +184,33 @@
                 self.fleet.clock.now() + self.fleet.connect_timeout, lambda: self._tell(ConnectLate(job)))
             self.opening[job] = (task, late)
 
+    def _take_idle(self) -> Connection | None:
+        """Take the connection used last, but one that has rested if there is one.
+
+        Guards against lines that come right behind an answer: they must not pass for the next one's answer.
+        """
+        rested = self.fleet.clock.now() - REST
+        while self.idle:
+            at = len(self.idle) - 1
+            while at and self.idle[at].idle_since > rested:
+                at -= 1
+            connection = self.idle.pop(at if self.idle[at].idle_since <= rested else -1)
+            if connection.is_fresh(self.address):
+                return connection
+            self._discard(connection)
+        return None
+
     def _tell(self, message: Message) -> None:
         self.mailbox.must_put(message)
 
     async def _open(self, job: Attempt | Probing) -> None:
+        address = self.address
         try:
-            reader, writer = await asyncio.open_connection(*self.address, limit=READ)
+            reader, writer = await asyncio.open_connection(*address, limit=READ)
         except OSError:
             self._tell(Opened(job, None))
         else:
-            self._tell(Opened(job, Connection(reader, writer)))
+            self._tell(Opened(job, Connection(reader, writer, address)))
 
     def _stop_opening(self, job: Attempt | Probing) -> bool:
         if job not in self.opening:
@@ -196,15 +236,20 @@
         self.fleet.counters.note("connections.opened")
         self.fleet.watcher.start(
             self._pump(connection), "server-reader", lambda _: self._tell(Broken(connection)))
-        if self._is_wanted(job):
-            self._write(connection, job)
-        else:
+        if not self._is_wanted(job):
             self._report(job, api.Result.MOOT)
             self._keep(connection)
+        elif not connection.is_fresh(self.address):
+            # Guards against a new server at an old address, and against one that turned us away at once.
+            self._report(job, api.Result.CONNECT_FAILED)
+            self._discard(connection)
+        else:
+            self._write(connection, job)
 
     def _write(self, connection: Connection, job: Attempt | Probing) -> None:
         writer = connection.writer
-        connection.busy = job
+        connection.busy, connection.owed = job, True
+        connection.written_at = self.fleet.clock.now()
         self.busy[job] = connection
         if isinstance(job, Probing):
             writer.write(b"stats load\r\n" if self.fleet.report_fields else b"mn\r\n")
@@ -224,7 +269,8 @@
         if isinstance(job, Probing):
             self.fleet.deadlines.clear(job.limit)
             load = job.fields
-        report = tuple(load.get(f, 0.0) for f in fields) if load else ()
+        # A report that lacks a field says nothing: a queue that is not told is not a queue of none.
+        report = tuple(load[f] for f in fields) if load and all(f in load for f in fields) else ()
         if isinstance(job, Probing):
             elapsed = self.fleet.clock.now() - job.sent_at
             self.fleet.router.mailbox.must_put(api.ProbeResult(self.number, result, elapsed, report))
@@ -238,41 +284,82 @@
         """Read a connection until it ends, busy or idle: so an idle one's end is seen at once."""
         try:
             while data := await connection.reader.read(READ):
-                for answer in connection.parser.feed(data):
-                    self._tell(Answered(connection, answer))
-                    if answer.kind == meta.Kind.OTHER:
-                        return
+                if not self._heard(connection, data):
+                    break
         except OSError:
             pass
         self._tell(Broken(connection))
 
-    def _answered(self, connection: Connection, answer: meta.ServerAnswer) -> None:
-        job = connection.busy
-        if job is None:
-            # Nothing was asked: such a connection can't be trusted to answer the next request in its place.
+    def _heard(self, connection: Connection, data: bytes) -> bool:
+        """Take in what has come; False once nothing more on this connection can be believed.
+
+        Guards against a second copy, noise or a stray line behind an answer: the answer stands, and the
+        connection is not used again, so that what follows can't pass for the answer to the next request.
+        """
+        for answer in connection.parser.feed(data):
+            if not connection.owed:
+                connection.spoilt = True
+                break
+            connection.owed = answer.kind == meta.Kind.STAT  # of which END is still to come
+            self._tell(Answered(connection, answer))
+        midway = connection.parser.is_midway()
+        if midway and not connection.owed:
+            connection.spoilt = True
+        if connection.spoilt:
             self.fleet.counters.note("servers.stray_answers")
+            return False
+        if midway or connection.stall is not None:
+            self._await_rest(connection, midway, sure=False)
+        return True
+
+    def _await_rest(self, connection: Connection, midway: bool, sure: bool) -> None:
+        self.fleet.deadlines.clear(connection.stall)
+        connection.stall = self.fleet.deadlines.set(
+            self.fleet.clock.now() + STALL / 2,
+            lambda: self._tell(Stalled(connection, sure))) if midway and not connection.closed else None
+
+    def _stalled(self, connection: Connection, sure: bool) -> None:
+        """Guards against an answer that stops short: its rest will not come, and the request has time left.
+
+        It is looked at twice, so that after a pause of this process what lies unread is read first.
+        """
+        connection.stall = None
+        if not sure:
+            self._await_rest(connection, connection.parser.is_midway(), sure=True)
+        elif not connection.closed and connection.parser.is_midway():
+            self.fleet.counters.note("servers.stalled")
+            if connection.busy is not None:
+                self._report(connection.busy, api.Result.ERROR)
             self._discard(connection)
-        elif isinstance(job, Probing):
+
+    def _answered(self, connection: Connection, answer: meta.ServerAnswer) -> None:
+        job = connection.busy
+        if connection.closed:
+            return
+        if isinstance(job, Probing):
             self._probed(connection, job, answer)
-        else:
+        elif job is not None:
             self._attempted(connection, job, answer)
 
     def _attempted(self, connection: Connection, job: Attempt, answer: meta.ServerAnswer) -> None:
         command, kind = job.request.payload, answer.kind
         result = api.Result.ERROR
         if kind == meta.Kind.BUSY:
-            result = api.Result.FULL
+            # Guards the never-twice rule: right behind an answer it may be a stray line, and prove nothing.
+            doubtful = job.request.is_write and connection.written_at - connection.answered_at < DOUBT
+            result = api.Result.ERROR if doubtful else api.Result.FULL
         elif kind in (meta.Kind.VALUE, meta.Kind.RECEIPT):
             fits = isinstance(command, meta.Command) and command.id == answer.id
             if fits and job.request.is_write == (kind == meta.Kind.RECEIPT):
                 result = api.Result.OK
-        if result == api.Result.ERROR and kind != meta.Kind.FAILED:
+        if result == api.Result.ERROR and kind not in (meta.Kind.FAILED, meta.Kind.BUSY):
             # Not an answer to what was asked: nobody knows what the next one on this connection would answer.
             self.fleet.counters.note("servers.bad_answers")
             self._report(job, result)
             self._discard(connection)
             return
         self._report(job, result, answer)
+        connection.answered_at = self.fleet.clock.now()
         self._keep(connection)
 
     def _probed(self, connection: Connection, job: Probing, answer: meta.ServerAnswer) -> None:
@@ -300,6 +387,9 @@
     def _keep(self, connection: Connection) -> None:
         """The one place where a connection that is good goes back to the pool."""
         self._release(connection)
+        if not connection.is_fresh(self.address):
+            self._discard(connection)
+            return
         connection.idle_since = self.fleet.clock.now()
         self.idle.append(connection)
 
@@ -308,6 +398,7 @@
         if connection.closed:
             return
         connection.closed = True
+        self.fleet.deadlines.clear(connection.stall)
         self._release(connection)
         if connection in self.idle:
             self.idle.remove(connection)
@@ -374,7 +465,9 @@
                 actor.mailbox.must_put(Retire(0.0))
         for number, actor in self.actors.items():
             if number in shut:
-                actor.shut_at = now if actor.shut_at is None else actor.shut_at
+                if actor.shut_at is None:
+                    actor.shut_at = now
+                    actor.mailbox.must_put(Retire(0.0))  # nothing new goes there: give descriptors back
                 if shut[number] == api.ServerState.GONE:
                     actor.gone_at = now if actor.gone_at is None else actor.gone_at
             elif number in listing.addresses:
--- a/starlingthread/policy.py
+++ b/starlingthread/policy.py
@@ -24,6 +24,7 @@
 SAMPLED = 2  # servers scored besides homes and counted ones, a way out when all of those are loaded
 PRIOR = (0.8, 0.5)  # first guesses of the cached chance at an uncounted home: in the fleet, in our zone
 MAX_KEYS = 20000  # keys with counts; bounds memory, far above what one balancer sees in a cache's life
+KEY_LIFE = 35000.0  # ms; a key that nobody asked for so long has no count left that matters
 REPORT_LIFE = 2000.0  # ms; a report's weight against the fleet's mean halves in this time
 CORES = 2.0  # requests that a server is taken to work on side by side, as no report tells it
 LAG_LIFE = 1000.0  # ms; half-life of the waiting that an answer or a time-out showed us
@@ -32,7 +33,8 @@
 COLD_MARGIN = 0.5  # of what a cold server's ramp can bear; heavy requests and callers' retries need the rest
 LET_TRY = 0.1  # share of the hopeless sent all the same, to learn when a server has recovered
 NUDGE = 0.5  # how far one observed hit or miss moves the cached chance
-BACK_OFF = 500.0  # ms; pause after a server failed; doubles, up to 16 times this
+BACK_OFF = 250.0  # ms; pause after a server failed; doubles, up to 16 times this
+SPOILT = 3  # failures in a row, each sent after the one before was known, that show a server to be at fault
 FETCH_SHARE = 0.15  # of the aim: first guess of an origin fetch's time
 PRESSURE_LIFE = 5000.0  # ms; half-life of what we remember of the origin's answers
 ALARM = 0.25  # what one bad fetch adds to the pressure at once; a quick one takes a fifth off
@@ -57,8 +59,8 @@
 class Server:
     """What this balancer knows of one server."""
 
-    __slots__ = ("back_until", "fails", "lag", "lag_at", "line", "report", "report_at", "salt", "tally",
-                 "told_shut", "used_at")
+    __slots__ = ("answered", "back_until", "failed_at", "fails", "lag", "lag_at", "line", "report",
+                 "report_at", "salt", "shut_at", "tally", "told_shut", "used_at")
 
     def __init__(self, line: Member) -> None:
         self.line = line
@@ -66,7 +68,9 @@
         self.tally = 0.0  # cost of our attempts that are out
         self.report, self.report_at = 0.0, -math.inf  # load in ms of waiting, and when it came
         self.lag, self.lag_at = 0.0, -math.inf  # ms of waiting that our last attempt met, and when
-        self.fails, self.back_until = 0, -math.inf
+        self.fails, self.failed_at, self.back_until = 0, -math.inf, -math.inf
+        self.answered = -math.inf  # when the last attempt was sent that it has answered
+        self.shut_at = math.inf  # when we were told that it drains or is gone
         self.used_at = -math.inf  # when we last sent to it
         self.salt = mix(line.server + 1)
 
@@ -74,9 +78,10 @@
 class Key:
     """Our counts of one key: per server the count, when it was last decayed, and the nudge of the chance."""
 
-    __slots__ = ("counts", "fetcher", "homes", "homes_at", "waiting")
+    __slots__ = ("counts", "fetcher", "homes", "homes_at", "used_at", "waiting")
 
     def __init__(self) -> None:
+        self.used_at = math.inf
         self.homes: list[tuple[Server, int, bool]] = []  # home, its rank, whether it is one of our zone's
         self.homes_at = -1  # the list that they were taken from
         self.counts: dict[int, tuple[float, float, float]] = {}
@@ -160,6 +165,7 @@
         self.mean_report = self.mean_lag = 0.0
         self.sent_per_ms, self.sent_at = 0.0, 0.0
         self.guard = OriginGuard(min(c.aim for c in settings.classes) * FETCH_SHARE)
+        self.keep_shut = 3 * max(c.deadline + c.memory_span for c in settings.classes)
         self.ask_fails, self.subscribed = 0, not settings.must_ask
         self.todo: list[Action] = []
 
@@ -221,6 +227,7 @@
                 fresh.tally = old.tally if old else 0.0
             else:
                 old.line, old.told_shut = line, line.state != ServerState.READY
+        self._forget_gone(now)
         self.ready, self.origin = [], None
         self.list_count += 1
         for server in self.servers.values():
@@ -230,6 +237,13 @@
                 self.ready.append(server)
         self.near = [s for s in self.ready if s.line.zone == self.set.zone]
 
+    def _forget_gone(self, now: float) -> None:
+        """Forget servers that were shut for so long that no attempt there can be out. Guards memory."""
+        for number, server in list(self.servers.items()):
+            server.shut_at = min(server.shut_at, now) if server.told_shut else math.inf
+            if now - server.shut_at > self.keep_shut:
+                del self.servers[number]
+
     def _on_timer(self, now: float, label: int) -> None:
         if label == ASK:
             if not self.subscribed:
@@ -243,16 +257,19 @@
 
     # affinity
 
-    def _key(self, number: int) -> Key:
+    def _key(self, now: float, number: int) -> Key:
         entry = self.keys.get(number)
         if entry is None:
             entry = self.keys[number] = Key()
-            if len(self.keys) > MAX_KEYS:
-                oldest = next(iter(self.keys))
-                if not self.keys[oldest].waiting and not self.keys[oldest].fetcher:
-                    del self.keys[oldest]
+            for _ in range(2):  # one in, two out at most: the table shrinks again after a crowd of keys
+                oldest, old = next(iter(self.keys.items()))
+                worn = len(self.keys) > MAX_KEYS or now - old.used_at > KEY_LIFE
+                if not worn or old.waiting or old.fetcher:
+                    break
+                del self.keys[oldest]
         else:
             self.keys.move_to_end(number)
+        entry.used_at = now
         return entry
 
     def _counted(self, now: float, entry: Key) -> dict[int, tuple[float, float]]:
@@ -381,7 +398,7 @@
                 self._give_up(now, tracked)
             return
         key = tracked.req.key
-        entry = self._key(key) if key else None
+        entry = self._key(now, key) if key else None
         server = None if tracked.missed else self._choose(now, tracked, entry)
         if tracked.missed or (server is None and not tracked.bad):
             self._fetch(now, tracked, entry)
@@ -469,19 +486,18 @@
 
     def _learn(self, now: float, tracked: Tracked, server: Server, event: Outcome) -> None:
         """Take from an outcome what it tells of the server, the origin, the class and the key."""
-        result = event.result
+        result, sent_at = event.result, now - event.elapsed
         lag = event.elapsed - (tracked.cost if result == Result.OK else 0.0)
-        if result in (Result.OK, Result.TIMEOUT):
+        # Guards against refusing all because one connection fell silent: where the server has answered what
+        # was sent later, a time-out tells of that connection, not of a queue.
+        if result == Result.OK or (result == Result.TIMEOUT and sent_at >= server.answered):
             server.lag, server.lag_at = max(0.0, lag), now
             if server is not self.origin:
                 self.mean_lag += (server.lag - self.mean_lag) * LAG_SHARE
         if result in (Result.CONNECT_FAILED, Result.RESET, Result.ERROR, Result.TIMEOUT):
-            server.fails += 1
-            if server is not self.origin and (result != Result.TIMEOUT or server.fails > 2):
-                pause = BACK_OFF * float(1 << min(server.fails - 1, 4))
-                server.back_until = now + pause * self.rng.uniform(0.7, 1.3)
+            self._suspect(now, server, result, sent_at)
         elif result in (Result.OK, Result.MISS):
-            server.fails = 0
+            server.fails, server.answered = 0, max(server.answered, sent_at)
         if server is self.origin:
             if result not in (Result.CANCELLED, Result.MOOT):
                 self.guard.observe(now, result == Result.OK, event.elapsed)
@@ -495,7 +511,20 @@
             hit = result == Result.OK and event.note != Note.MISS
             if tracked.role >= 0:
                 self.prior[tracked.role] += (hit - self.prior[tracked.role]) * 0.05
-            self._count(now, self._key(tracked.req.key), server.line.server, 0.0, 1.0 if hit else -1.0)
+            self._count(now, self._key(now, tracked.req.key), server.line.server, 0.0, 1.0 if hit else -1.0)
+
+    def _suspect(self, now: float, server: Server, result: Result, sent_at: float) -> None:
+        """Leave a server alone that fails again and again.
+
+        Guards against leaving out half a fleet because single answers are spoilt or connections break, which
+        scatters its keys and jams the origin; and against counting what was out when it failed once more.
+        """
+        if sent_at < max(server.failed_at, server.answered) or server is self.origin:
+            return
+        server.fails, server.failed_at = server.fails + 1, now
+        beyond = server.fails - (1 if result == Result.CONNECT_FAILED else SPOILT)
+        if beyond >= 0:
+            server.back_until = now + BACK_OFF * float(1 << min(beyond, 4)) * self.rng.uniform(0.7, 1.3)
 
     def _go_on(self, now: float, tracked: Tracked, server: Server, result: Result) -> None:
         """Decide what follows an attempt that did not answer the client."""
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from starlingthread.interface import Refuse, Result
+from starlingthread.interface import ListKind, Member, MemberList, Refuse, Result, ServerState
 
-from .world import ASIDE, ORIGIN, World, answers, members, only_send, sends
+from .world import ASIDE, ORIGIN, THROUGH, World, answers, members, only_send, sends
 
 
 def late_reads(world: World, count: int, elapsed: float) -> None:
@@ -62,3 +62,56 @@
     told = [refusal.retry_after for _ in range(20) for refusal in answers(world.ask()) if
             isinstance(refusal, Refuse)]
     assert len(told) == 20 and all(1.0 <= ms <= 2000.0 for ms in told) and len(set(told)) > 10
+
+
+def test_single_failures_leave_no_server_out_and_a_row_of_them_does() -> None:
+    """Guards against spoilt answers that leave out half a fleet and scatter its keys."""
+    for result, row in ((Result.ERROR, 3), (Result.RESET, 3), (Result.CONNECT_FAILED, 1)):
+        world = World(THROUGH)
+        home = [world.read(7) for _ in range(12)][-1]
+        for failed in range(row + 1):
+            world.now += 50.0
+            send = only_send(world.ask(7))
+            assert (send.server == home) == (failed < row)
+            world.now += 20.0
+            world.end(send, result, elapsed=20.0)
+
+
+def test_what_was_out_when_a_server_failed_is_not_held_against_it_again() -> None:
+    world = World(THROUGH)
+    home = [world.read(7) for _ in range(12)][-1]
+    out = [s for s in (only_send(world.ask(7)) for _ in range(5)) if s.server == home]
+    assert len(out) > 3
+    for send in out:
+        world.now += 1.0
+        world.end(send, Result.RESET, elapsed=500.0)
+    assert world.balancer.servers[home].fails <= 1
+
+
+def test_a_timeout_is_no_queue_where_later_work_was_answered() -> None:
+    """Guards against refusing all when one connection fell silent: its server answers as ever."""
+    world = World(THROUGH)
+    silent = only_send(world.ask(7))
+    world.now += 100.0
+    world.read(7)
+    world.now += 800.0
+    before = world.balancer.mean_lag
+    world.end(silent, Result.TIMEOUT, elapsed=930.0)
+    assert world.balancer.mean_lag == before
+    alone = only_send(world.ask(7))
+    world.now += 930.0
+    world.end(alone, Result.TIMEOUT, elapsed=930.0)
+    assert world.balancer.mean_lag > before
+
+
+def test_servers_and_keys_that_are_long_gone_are_forgotten() -> None:
+    """Guards memory on a day on which servers and keys come and go."""
+    world = World(THROUGH)
+    for turn in range(40):
+        gone, new = turn + 1, turn + 5
+        world.do(MemberList(ListKind.DELTA, turn + 2, (
+            Member(gone, state=ServerState.GONE), Member(new))))
+        for key in range(50):
+            world.now += 100.0
+            world.read(turn * 1000 + key)
+    assert len(world.balancer.servers) < 10 and len(world.balancer.keys) <= 400
