Take answers of up to 1 MB, send second copies of what stays out, collect garbage in time

What a server gives back may now be 1 MB; what a client sends stays at 64 KiB. Ruled out: cut answers (the parser's tests with random cuts, and a capture in which all sizes fitted). - Connections that fall silent and answers that come too late held their request until the deadline, long past the aim. policy.py now looks at 0.4 of the aim and sends one second copy, at most 4% of requests, none where all are slow, none for what must not run twice; a server that has answered nothing sent later is suspected then, not at the deadline. - A request that crossed our close of an idle connection could be read and dropped (7 lost): net/clients.py closed in the turn between the socket's read and its reader's. It now stops reading and gives the reader that turn. - core/router.py set a new timer each turn (3.6% of a profile); now only for a sooner deadline. - The second generation of garbage was never collected; now all is, every 10 s (longest 28 ms under load).

--- a/starlingthread/__main__.py
+++ b/starlingthread/__main__.py
@@ -7,6 +7,7 @@
 import gc
 import json
 import logging
+import math
 import os
 import queue
 import signal
@@ -30,6 +31,7 @@
 
 STILL_ACCEPTING = 0.5  # s after SIGTERM in which new connections are still welcome
 LAST_ANSWERS = 4.5  # s after that in which what was taken may be finished
+COLLECT_EVERY = 10000.0  # ms between full collections of garbage
 OWN_SOCKETS = 24  # descriptors for discovery, peers, files, and what is closed but not given back yet
 CLIENT_SHARE = 0.5  # of the rest for clients, whose requests need a third of all; the other half for servers
 OWN_MEMORY = 26  # MB that the program takes by itself; of what is left a part may hold values
@@ -155,6 +157,14 @@
         self.config = new._replace(**{name: getattr(self.config, name) for name in kept})
         log.info("reloaded discovery=%s:%d needs-restart=%s", *new.discovery, ",".join(kept) or "nothing")
 
+    def _collect(self) -> None:
+        """Collect all garbage, now and then. It holds up every answer, so the longest time is kept."""
+        began = self.router.clock.now()
+        gc.collect()
+        ended = self.router.clock.now()
+        self.counters["gc.longest_ms"] = max(self.counters["gc.longest_ms"], math.ceil(ended - began))
+        self.router.deadlines.set(ended + COLLECT_EVERY, self._collect)
+
     async def run(self) -> int:
         """Serve until a signal, then finish what was taken."""
         loop = asyncio.get_running_loop()
@@ -171,11 +181,12 @@
             await self.peers.listen(*self.config.peer_listen)
         await self.front.listen(*self.config.listen)
         log.info("started name=%s servers=%d", self.config.name, len(self.router.module.servers))
-        # What lives as long as the program is never looked at again, and garbage is collected in small bites:
-        # a full collection would hold up every answer.
+        # What lives as long as the program is never looked at again; the young are collected in small bites,
+        # and all of it at times of our own: connections leave cycles behind, which would pile up all day.
         gc.collect()
         gc.freeze()
-        gc.set_threshold(20000, 50, 1000)
+        gc.set_threshold(5000, 20, 1 << 30)
+        self._collect()
         await self.stop.wait()
         if self.code == 0:
             log.info("stopping requests.open=%d", len(self.router.requests))
--- a/starlingthread/core/router.py
+++ b/starlingthread/core/router.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import math
 from dataclasses import dataclass
 from typing import NamedTuple, Protocol, TypeAlias
 
@@ -165,6 +166,7 @@
         self.peers: Peers
         self._last_id = 0
         self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = math.inf
 
     # turns
 
@@ -187,14 +189,18 @@
         self.deadlines.sweep(self.clock.now())
 
     def _arm(self) -> None:
-        """Keep one timer, for the first deadline there is."""
+        """Keep one timer, for the first deadline there is; one that rings early costs less than a new one."""
+        first = self.deadlines.first()
+        if first is None or first >= self._timer_at:
+            return
         if self._timer is not None:
             self._timer.cancel()
-            self._timer = None
-        first = self.deadlines.first()
-        if first is not None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_at(self.clock.on_loop(first), self.mailbox.wake)
+        self._timer_at = first
+        self._timer = asyncio.get_running_loop().call_at(self.clock.on_loop(first), self._ring)
+
+    def _ring(self) -> None:
+        self._timer, self._timer_at = None, math.inf
+        self.mailbox.wake()  # the turn that follows arms it anew
 
     def _take_in(self, message: Message) -> None:
         now = self.clock.now()
--- a/starlingthread/net/clients.py
+++ b/starlingthread/net/clients.py
@@ -206,7 +206,7 @@
                     self.room.set()
                     if slot.last:
                         return
-                if self.ended or (self.closing and not self.slots and self.began_at is None):
+                if self.ended or (self._is_over() and await self._has_nothing_unread()):
                     return
                 if self.writer.transport.get_write_buffer_size() > MAX_UNSENT:
                     await self._drain()
@@ -217,6 +217,24 @@
             reading.cancel()
             self.close()
 
+    def _is_over(self) -> bool:
+        return self.closing and not self.slots and self.began_at is None
+
+    async def _has_nothing_unread(self) -> bool:
+        """Guards the request that crosses our close: what was taken off the socket is owed an answer.
+
+        No more is taken, and the reader gets one turn; what then lies unread the client sends again.
+        """
+        transport = self.writer.transport
+        if not transport.is_closing():
+            transport.pause_reading()  # type: ignore[attr-defined]
+        await asyncio.sleep(0)
+        if self._is_over():
+            return True
+        if not transport.is_closing():
+            transport.resume_reading()  # type: ignore[attr-defined]
+        return False
+
     async def _drain(self) -> None:
         """Wait for a slow reader, for a while: its answers take memory, and its connection a descriptor."""
         limit = self.front.deadlines.set(self.front.clock.now() + STUCK, self._cut_off)
--- a/starlingthread/net/meta.py
+++ b/starlingthread/net/meta.py
@@ -11,7 +11,8 @@
 from enum import Enum
 from typing import NamedTuple, TypeAlias
 
-MAX_VALUE = 64 * 1024
+MAX_VALUE = 64 * 1024  # of what a client sends
+MAX_ANSWER = 1024 * 1024  # of what a cache server gives back: values of over 300 KB were seen, whole and good
 MAX_HEAD = 2048
 CRLF = b"\r\n"
 
@@ -284,14 +285,14 @@
         if len(words) > 1 and words[-1][:1] == b"L":
             load = parse_load(words.pop()[1:])  # one that can't be read spoils nothing but itself
         first, flags = words[0], words[1:]
-        if first == b"VA" and len(words) > 2 and words[1].isdigit() and len(words[1]) < 7:
+        if first == b"VA" and len(words) > 2 and words[1].isdigit() and len(words[1]) < 8:
             size, flags = int(words[1]), words[2:]
         elif first == b"HD":
             size = -1
         else:
             return self._plain_line(words, load) or other
         ids, receipts = [w for w in flags if w[:1] == b"O"], [w for w in flags if w[:1] == b"c"]
-        if len(ids) != 1 or size > MAX_VALUE:
+        if len(ids) != 1 or size > MAX_ANSWER:
             return other
         rid = ids[0]
         hits = [w for w in flags if w in (b"h0", b"h1")]
--- a/starlingthread/net/servers.py
+++ b/starlingthread/net/servers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from typing import NamedTuple, TypeAlias
 
 from .. import interface as api
@@ -15,8 +16,11 @@
 from ..core.router import Attempt, Ended, Listed, Router
 from . import meta
 
+log = logging.getLogger("starlingthread")
+
 READ = 65536
 MAILBOX = 10000
+MAX_LOGGED = 20  # bad answers that get a log line; all are counted
 RETIRE_SHARE = 0.65  # of the server's idle limit: a write that crosses its close would be a reset
 LOOK_EVERY = 1000.0  # ms between looks for connections to retire
 DRAIN_MARGIN = 100.0  # ms before the end of the drain grace from which we write nothing more
@@ -355,6 +359,9 @@
         if result == api.Result.ERROR and kind not in (meta.Kind.FAILED, meta.Kind.BUSY):
             # Not an answer to what was asked: nobody knows what the next one on this connection would answer.
             self.fleet.counters.note("servers.bad_answers")
+            if self.fleet.counters["servers.bad_answers"] <= MAX_LOGGED:
+                log.info("bad-answer server=%s:%d kind=%s says=%r", *connection.address, kind.name,
+                         b"".join(answer.text)[:80])
             self._report(job, result)
             self._discard(connection)
             return
--- a/starlingthread/policy.py
+++ b/starlingthread/policy.py
@@ -8,7 +8,7 @@
 
 import math
 from collections import OrderedDict
-from heapq import nlargest
+from heapq import heappop, heappush, nlargest
 from random import Random
 
 from .interface import (
@@ -43,10 +43,12 @@
 MAX_WAITS = 2  # times that a write waits for a full origin before it is given up
 ASK_BACK_OFF = 500.0  # ms; first pause after a failed call for the list, doubled each time, jittered
 MAX_ASK_DOUBLED = 2  # times that it is doubled: a drain counts as told before a pause of many seconds is over
+SECOND = 0.4  # of the aim; what is out longer may get a second copy; half as long again if it was uncounted
+SECONDS = (0.04, 8.0)  # second copies for each request that is sent, and how many may be saved up
 COME_BACK = 0.2  # of the aim; mean of the pause that a refused client is asked for: a retry can still earn
 EARLY = 5.0  # ms; a held request is answered this long before its client gives up
 MASK = (1 << 64) - 1
-ASK = 0  # timer label; the others are 1 + the id of a held request
+ASK, LOOK = 0, 1 << 60  # timer labels; the others are 1 + the id of a held request
 
 
 def mix(value: int) -> int:
@@ -157,6 +159,9 @@
         self.keys: OrderedDict[int, Key] = OrderedDict()
         self.live: dict[int, Tracked] = {}
         self.held: dict[int, Tracked] = {}
+        self.slow: list[tuple[float, int]] = []  # a heap: when to look if a request is still out, and its id
+        self.look_at = math.inf  # when the next of these looks is due
+        self.seconds = 0.0  # second copies that may be sent now
         fields = settings.report_fields
         self.at_field = {name: fields.index(name) for name in ("inflight", "queue", "util") if name in fields}
         self.work = [c.aim * 0.1 for c in settings.classes]  # ms; learned cost of each class
@@ -248,6 +253,8 @@
         if label == ASK:
             if not self.subscribed:
                 self.todo.append(Watch(True))
+        elif label == LOOK:
+            self._look(now)
         elif (tracked := self.held.get(label - 1)) and now >= tracked.wake - 0.01:
             del self.held[tracked.req.id]
             if now >= tracked.deadline - EARLY - 0.01:
@@ -405,6 +412,7 @@
         elif server is None or self._hopeless(now, tracked, server) or len(tracked.bad) >= MAX_TURNED:
             self._give_up(now, tracked)
         elif self._send(now, tracked, server):
+            self._watch(now, tracked, tracked.role < 0)
             if entry is not None:
                 self._count(now, entry, server.line.server, 1.0, 0.0)
         else:
@@ -437,6 +445,53 @@
         self.todo.append(Send(tracked.req.id, server.line.server, timeout))
         return True
 
+    # second copies
+
+    def _watch(self, now: float, tracked: Tracked, counted: bool) -> None:
+        """Have a first attempt looked at again, if its answer might then be made up for."""
+        if tracked.cls.effect == Effect.UNSAFE or not self.set.second_copies or len(tracked.tries) > 1:
+            return
+        share, most = SECONDS
+        self.seconds = min(most, self.seconds + share)
+        due = now + SECOND * tracked.cls.aim * (1.0 if counted else 1.5)
+        if due < tracked.deadline:
+            heappush(self.slow, (due, tracked.req.id))
+            self._look_again()
+
+    def _look_again(self) -> None:
+        if self.slow and self.slow[0][0] < self.look_at:
+            self.look_at = self.slow[0][0]
+            self.todo.append(SetTimer(self.look_at, LOOK))
+
+    def _look(self, now: float) -> None:
+        """Send second copies of what should have been answered by now.
+
+        Guards against connections that fell silent and servers that stand still: nothing ever comes from
+        them, and a time-out at the deadline is too late. Where all are slow, more work would only add to it.
+        """
+        if now < self.look_at - 0.01:
+            return
+        self.look_at = math.inf
+        while self.slow and self.slow[0][0] <= now + 0.01:
+            tracked = self.live.get(heappop(self.slow)[1])
+            if tracked is None or tracked.ended or tracked.out != 1 or len(tracked.tries) > 1:
+                continue
+            number, sent_at, _ = next(attempt for attempt in tracked.tries if attempt is not None)
+            first = self.servers[number]
+            if sent_at > first.answered:  # nothing sent later was answered: it is not the connection alone
+                first.lag, first.lag_at = max(self._lag(now, first), now - sent_at), now
+                self._suspect(now, first, Result.TIMEOUT, sent_at)
+            if self.seconds < 1 or self.mean_lag > SECOND * tracked.cls.aim:
+                continue
+            tracked.bad.append(number)
+            key = tracked.req.key
+            server = self._choose(now, tracked, self._key(now, key) if key else None)
+            if server is not None and self._send(now, tracked, server):
+                self.seconds -= 1
+            else:
+                tracked.bad.remove(number)
+        self._look_again()
+
     def _drops_repeat(self, now: float, tracked: Tracked, server: Server) -> bool:
         first = self.servers[tracked.ran_on].line
         group = tracked.cls.group
@@ -490,7 +545,7 @@
         lag = event.elapsed - (tracked.cost if result == Result.OK else 0.0)
         # Guards against refusing all because one connection fell silent: where the server has answered what
         # was sent later, a time-out tells of that connection, not of a queue.
-        if result == Result.OK or (result == Result.TIMEOUT and sent_at >= server.answered):
+        if result == Result.OK or (result == Result.TIMEOUT and sent_at > server.answered):
             server.lag, server.lag_at = max(0.0, lag), now
             if server is not self.origin:
                 self.mean_lag += (server.lag - self.mean_lag) * LAG_SHARE
@@ -519,7 +574,7 @@
         Guards against leaving out half a fleet because single answers are spoilt or connections break, which
         scatters its keys and jams the origin; and against counting what was out when it failed once more.
         """
-        if sent_at < max(server.failed_at, server.answered) or server is self.origin:
+        if sent_at <= max(server.failed_at, server.answered) or server is self.origin:
             return
         server.fails, server.failed_at = server.fails + 1, now
         beyond = server.fails - (1 if result == Result.CONNECT_FAILED else SPOILT)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -46,6 +46,12 @@
     def abort(self) -> None:
         self.gone = True
 
+    def pause_reading(self) -> None:
+        self.paused = True
+
+    def resume_reading(self) -> None:
+        self.paused = False
+
 
 class Writer:
     """Stands for a StreamWriter."""
@@ -220,6 +226,19 @@
     talk(script)
 
 
+def test_a_request_that_crosses_our_close_is_answered_if_it_was_taken_off_the_socket() -> None:
+    """Guards against a loss: nobody else can read that request any more, and its client would see a close."""
+    async def script(now: Talk) -> None:
+        await now.settle()
+        now.actor.shut_when_idle()  # the actor's turn to close comes before the reader's
+        now.reader.feed_data(READS[:25])
+        (asked,) = await now.settle()
+        assert not now.writer.transport.gone and not now.writer.transport.paused
+        now.actor.answer(asked.request, Failed())
+
+    assert talk(script) == b"SERVER_ERROR failed\r\n"
+
+
 def test_an_id_that_is_open_is_an_error_and_free_again_after_its_answer() -> None:
     async def script(now: Talk) -> None:
         now.reader.feed_data(READS[:25] * 2)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+from unittest.mock import Mock, patch
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -192,3 +195,25 @@
     assert box.put(1) and not box.put(2)
     box.must_put(3)
     assert list(box.take()) == [1, 3]
+
+
+def test_one_timer_serves_all_deadlines_and_is_only_set_anew_for_a_sooner_one() -> None:
+    class Loop:
+        def __init__(self) -> None:
+            self.set: list[float] = []
+
+        def call_at(self, at: float, then: object) -> asyncio.Handle:
+            self.set.append(at)
+            return Mock()
+
+    place, loop = Place(), Loop()
+    place.router.deadlines = Deadlines()
+    with patch("asyncio.get_running_loop", return_value=loop):
+        for at in (5.0, 9.0, 3.0, 4.0):
+            place.router.deadlines.set(at, lambda: None)
+            place.router._arm()
+        assert len(loop.set) == 2
+        place.router._ring()
+        place.router.deadlines.sweep(3.0)
+        place.router._arm()
+        assert loop.set == [place.clock.on_loop(at) for at in (5.0, 3.0, 4.0)]
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -4,7 +4,7 @@
 
 from starlingthread.interface import ListKind, Member, MemberList, Refuse, Result, ServerState
 
-from .world import ASIDE, ORIGIN, THROUGH, World, answers, members, only_send, sends
+from .world import ASIDE, ORIGIN, THROUGH, UNSAFE, World, answers, members, only_send, sends
 
 
 def late_reads(world: World, count: int, elapsed: float) -> None:
@@ -115,3 +115,51 @@
             world.now += 100.0
             world.read(turn * 1000 + key)
     assert len(world.balancer.servers) < 10 and len(world.balancer.keys) <= 400
+
+
+COPIES = THROUGH._replace(second_copies=True)
+
+
+def warmed_up(world: World) -> int:
+    """Let one key be read until its home is counted and second copies are saved up; return the home."""
+    return [world.read(7) for _ in range(40)][-1]
+
+
+def test_what_stays_out_gets_one_second_copy_elsewhere_and_unsafe_work_none() -> None:
+    """Guards against connections that fall silent: a time-out at the deadline would be too late."""
+    world = World(COPIES)
+    home = warmed_up(world)
+    first = only_send(world.ask(7))
+    assert first.server == home and not sends(world.pass_time(199.0))
+    second = only_send(world.pass_time(2.0))
+    assert second.server != home and not sends(world.pass_time(400.0))
+    world.end(second, Result.OK, attempt=1, elapsed=30.0)
+    only_send(world.ask(7, UNSAFE))
+    assert not sends(world.pass_time(900.0))
+
+
+def test_second_copies_are_few_and_none_where_all_are_slow() -> None:
+    world = World(COPIES)
+    warmed_up(world)
+    asked = [only_send(world.ask(7)) for _ in range(100)]
+    copies = len(sends(world.pass_time(400.0)))
+    assert 0 < copies <= 0.04 * (len(asked) + 41) + 1
+    slow = World(COPIES)
+    warmed_up(slow)
+    slow.balancer.mean_lag = 300.0
+    slow.ask(7)
+    assert not sends(slow.pass_time(400.0))
+
+
+def test_a_server_that_answers_nothing_is_found_out_before_the_deadline() -> None:
+    """Guards against machines that vanish and say nothing, not even that they are gone."""
+    world = World(COPIES)
+    home = warmed_up(world)
+    for _ in range(30):
+        for send in sends(world.ask(7)):
+            if send.server != home:
+                world.end(send, Result.OK)
+        for send in sends(world.pass_time(100.0)):
+            if send.server != home:
+                world.end(send, Result.OK, attempt=1)
+    assert world.balancer.servers[home].fails >= 3 and world.balancer.servers[home].back_until > 2200.0
