Use idle connections only for as long as they live; spare a jammed origin; retry at home

So servers, or the way to them, drop idle connections long before the limit of 15 s in the settings. net/servers.py now learns that share by idle time and closes what is too old; writes are more careful. Ruled out: our own retire time (0.65 of the limit), CPU (most in a second 0.40). Errors and refusals: policy.py sent a retry to another server, where the key is not cached, and asked the origin without bound; the guard of the origin worked in 'aside' mode only, and the time of fetches passed for a queue at the server. A broken or spoilt answer is now retried at home once, misses teach the guard and not the queue, and fetches that the origin could not bear are refused, the least worth first. A rule was at risk with this: an outcome that proves 'never ran' cleared the mark of another attempt sent to the same server at the same time (found by the random streams); marks now go by attempt.

--- a/starlingthread/net/clients.py
+++ b/starlingthread/net/clients.py
@@ -16,7 +16,7 @@
 READ = 16384  # bytes read at once; twice as many may lie unread in a connection's reader
 MAX_PIPELINED = 16  # commands of one connection that may be without their answer; then it is not read
 MAX_MALFORMED = 8  # commands of one connection that make no sense; then it is closed
-MAX_UNSENT = 16384  # bytes that a slow reader may leave unsent before its actor waits for it
+MAX_UNSENT = 65536  # bytes that a slow reader may leave unsent before its actor waits for it
 STUCK = 10000.0  # ms for which a client may read nothing of what is written to it; then it is cut off
 SILENT = 2000.0  # ms in which a new connection must say something, and after which any idle one may be closed
 MIDWAY = 2200.0  # ms in which a command must be whole from its first byte on
@@ -199,17 +199,14 @@
                 for slot, parts in self.mailbox.take():
                     slot.parts = parts
                 while self.slots and (ready := self.slots[0].parts) is not None:
+                    await self._write(self.slots[0], ready)
                     slot = self.slots.popleft()
                     self._hold(slot, 0)
-                    self.used_at = self.front.clock.now()
-                    self.writer.writelines(ready)
                     self.room.set()
                     if slot.last:
                         return
                 if self.ended or (self._is_over() and await self._has_nothing_unread()):
                     return
-                if self.writer.transport.get_write_buffer_size() > MAX_UNSENT:
-                    await self._drain()
                 await self.mailbox.wait()
         except OSError:
             self.front.counters.note("clients.reset")
@@ -217,6 +214,14 @@
             reading.cancel()
             self.close()
 
+    async def _write(self, slot: Slot, parts: tuple[bytes, ...]) -> None:
+        """Write one answer; a large one part by part, so that a client has little unsent at any time."""
+        self.used_at = self.front.clock.now()
+        for some in (parts,) if slot.size <= MAX_UNSENT else tuple((part,) for part in parts):
+            self.writer.writelines(some)
+            if self.writer.transport.get_write_buffer_size() > MAX_UNSENT:
+                await self._drain()
+
     def _is_over(self) -> bool:
         return self.closing and not self.slots and self.began_at is None
 
--- a/starlingthread/net/meta.py
+++ b/starlingthread/net/meta.py
@@ -98,7 +98,8 @@
         """Return that many bytes, or None if they are not all there."""
         if len(self.buffer) - self.at < size:
             return None
-        data = bytes(self.buffer[self.at:self.at + size])
+        with memoryview(self.buffer) as view:
+            data = bytes(view[self.at:self.at + size])
         self.at += size
         return data
 
@@ -215,7 +216,7 @@
 
 
 class ServerAnswer(NamedTuple):
-    """One answer of a cache server. text is what a client gets of it; OTHER holds the line."""
+    """One answer of a cache server. text is what a client gets of it, in parts; OTHER holds the line."""
 
     kind: Kind
     id: bytes = b""
@@ -240,8 +241,9 @@
 
     def __init__(self) -> None:
         self._lines = _Lines()
-        self._value: ServerAnswer | None = None
-        self._size = 0
+        self._value: ServerAnswer | None = None  # whose value is not whole yet
+        self._parts: list[bytes] = []  # of that value, as they came: large ones are never put together
+        self._size = 0  # bytes that are still to come, with their CRLF
         self._lost = False
 
     def is_midway(self) -> bool:
@@ -270,13 +272,16 @@
             if answer.kind != Kind.VALUE:
                 return answer
             self._value = answer
-        block = self._lines.block(self._size)
-        if block is None:
+        if block := self._lines.block(min(self._size, self._lines.unread())):
+            self._parts.append(block)
+            self._size -= len(block)
+        if self._size:
             return None
-        answer, self._value = self._value, None
-        if not block.endswith(CRLF):
+        answer, self._value, parts = self._value, None, self._parts
+        self._parts = []
+        if not b"".join(part[-2:] for part in parts[-2:]).endswith(CRLF):
             return ServerAnswer(Kind.OTHER, text=(b"bad data chunk",))
-        return answer._replace(text=(*answer.text, block))
+        return answer._replace(text=(*answer.text, *parts))
 
     def _line(self, line: bytes) -> ServerAnswer:
         other = ServerAnswer(Kind.OTHER, text=(line[:80],))
--- a/starlingthread/net/servers.py
+++ b/starlingthread/net/servers.py
@@ -26,6 +26,8 @@
 DRAIN_MARGIN = 100.0  # ms before the end of the drain grace from which we write nothing more
 FORGET_AFTER = 2000.0  # ms after which the actor of a server that is gone is ended
 STALL = 100.0  # ms for which a part of an answer may wait for the rest of it; it is looked at twice
+RISK_LIFE, RISK_GAIN = 10000.0, 0.1  # ms in which a seen risk halves; weight of one request
+RISK_READ, RISK_WRITE = 0.15, 0.05  # beyond a new connection's: past that none that idle is used for it
 REST = 3.0  # ms for which a connection rests before it is used again, if another one is at hand
 DOUBT = 50.0  # ms after an answer in which a 'busy' may be a stray line behind it
 PROBE_WAIT = 50.0  # ms in which a probe must be answered
@@ -61,12 +63,44 @@
         self.stall: Deadline | None = None  # when the rest of a part of an answer must be here
         self.closed = False
 
+    @property
+    def idle_before(self) -> float | None:
+        """For how long it was idle before what was written last; None if that was the first."""
+        return self.written_at - self.answered_at if self.answered_at > 0 else None
+
     def is_fresh(self, address: tuple[str, int]) -> bool:
         """Whether it can still carry a request: not spoilt, not ended, and to the server's address of now."""
         return not (self.spoilt or self.closed or self.reader.at_eof() or self.writer.transport.is_closing()
                     or self.address != address)
 
 
+class IdleRisk:
+    """How often connections broke under a request, by how long they had been idle before.
+
+    Guards against servers, or what lies between, that drop idle connections long before the limit in the
+    settings and without a word: the next request on such a connection is lost, and may have run.
+    """
+
+    def __init__(self) -> None:
+        self._shares = [0.0] * 18  # by the number of bits of the ms; the first is for new connections
+        self._at = [0.0] * 18
+
+    def _place(self, now: float, idle: float | None) -> int:
+        place = 0 if idle is None else min(17, 1 + int(idle).bit_length())
+        self._shares[place] *= 0.5 ** ((now - self._at[place]) / RISK_LIFE)  # so that it is tried again
+        self._at[place] = now
+        return place
+
+    def note(self, now: float, idle: float | None, broke: bool) -> None:
+        """Take in what became of a request."""
+        place = self._place(now, idle)
+        self._shares[place] += (broke - self._shares[place]) * RISK_GAIN
+
+    def beyond_new(self, now: float, idle: float) -> float:
+        """Return how much more often it breaks than a new connection does, as a share of requests."""
+        return self._shares[self._place(now, idle)] - self._shares[self._place(now, None)]
+
+
 class Start(NamedTuple):
     """Message: make an attempt, or a probe."""
 
@@ -176,7 +210,8 @@
     def _start(self, job: Attempt | Probing) -> None:
         if not self._is_wanted(job):
             self._report(job, api.Result.MOOT)
-        elif (connection := self._take_idle()) is not None:
+        elif (connection := self._take_idle(
+                isinstance(job, Attempt) and job.request.is_write)) is not None:
             self._write(connection, job)
         elif not self.fleet.make_room():
             self.fleet.counters.note("connections.no_room")
@@ -188,19 +223,24 @@
                 self.fleet.clock.now() + self.fleet.connect_timeout, lambda: self._tell(ConnectLate(job)))
             self.opening[job] = (task, late)
 
-    def _take_idle(self) -> Connection | None:
+    def _take_idle(self, is_write: bool) -> Connection | None:
         """Take the connection used last, but one that has rested if there is one.
 
         Guards against lines that come right behind an answer: they must not pass for the next one's answer.
         """
-        rested = self.fleet.clock.now() - REST
+        now = self.fleet.clock.now()
+        rested = now - REST
         while self.idle:
             at = len(self.idle) - 1
             while at and self.idle[at].idle_since > rested:
                 at -= 1
-            connection = self.idle.pop(at if self.idle[at].idle_since <= rested else -1)
-            if connection.is_fresh(self.address):
-                return connection
+            at = at if self.idle[at].idle_since <= rested else len(self.idle) - 1
+            connection = self.idle[at]
+            risk = self.fleet.risk.beyond_new(now, now - connection.idle_since)
+            if connection.is_fresh(self.address) and risk < RISK_READ:
+                if is_write and risk > RISK_WRITE:
+                    return None  # one that may not run twice gets a new one
+                return self.idle.pop(at)
             self._discard(connection)
         return None
 
@@ -366,6 +406,7 @@
             self._discard(connection)
             return
         self._report(job, result, answer)
+        self.fleet.risk.note(self.fleet.clock.now(), connection.idle_before, False)
         connection.answered_at = self.fleet.clock.now()
         self._keep(connection)
 
@@ -383,6 +424,9 @@
         job = connection.busy
         if job is not None:
             # It was handed to the system whole or nearly so; as nobody can tell, it may have run.
+            self.fleet.risk.note(self.fleet.clock.now(), connection.idle_before, True)
+            if connection.idle_before is not None:
+                self.fleet.counters.note("connections.reset_reused")
             self._report(job, api.Result.RESET)
         self._discard(connection)
 
@@ -435,6 +479,7 @@
         self.clock, self.counters, self.deadlines = router.clock, router.counters, router.deadlines
         self.grace, self.connect_timeout = settings.drain_grace, settings.connect_timeout
         self.report_fields = settings.report_fields
+        self.risk = IdleRisk()
         self.retire_after = idle_close * RETIRE_SHARE
         self.actors: dict[int, ServerActor] = {}
         self.tasks: dict[int, asyncio.Task[None]] = {}
--- a/starlingthread/policy.py
+++ b/starlingthread/policy.py
@@ -38,6 +38,7 @@
 FETCH_SHARE = 0.15  # of the aim: first guess of an origin fetch's time
 PRESSURE_LIFE = 5000.0  # ms; half-life of what we remember of the origin's answers
 ALARM = 0.25  # what one bad fetch adds to the pressure at once; a quick one takes a fifth off
+LATE_FETCH = 0.5  # of the aim; a fetch by a server is slow only past this, as its queue is in that time too
 SLOW_FETCH = 4.0  # a fetch that took this many times the usual does not count as served
 PRESSURE_GAIN = 1.5  # the origin may be asked for this many times what it serves, not for more
 MAX_WAITS = 2  # times that a write waits for a full origin before it is given up
@@ -94,18 +95,20 @@
 class Tracked:
     """A request that is owed an answer, or whose attempts are still out."""
 
-    __slots__ = ("req", "cls", "deadline", "cost", "tries", "out", "ran_at", "ran_on", "missed", "ended",
-                 "bad", "streaming", "role", "wake", "waits")
+    __slots__ = ("req", "cls", "chance", "deadline", "failed_on", "cost", "tries", "out", "ran_at", "ran_by",
+                 "ran_on", "missed", "ended", "bad", "streaming", "role", "wake", "waits")
 
     def __init__(self, req: Request, cls: RequestClass, now: float, cost: float) -> None:
         self.req, self.cls, self.cost = req, cls, cost
         self.deadline = now + req.budget
         self.tries: list[tuple[int, float, float] | None] = []  # server, sent at, cost; None: over
         self.out = 0
-        self.ran_at, self.ran_on = -1.0, 0  # the first attempt that may have run
+        self.ran_at, self.ran_on, self.ran_by = -1.0, 0, -1  # the first attempt that may have run
         self.missed: list[int] = []
         self.ended = self.streaming = False
         self.bad: list[int] = []  # servers that failed this request
+        self.failed_on = -1  # the server that failed it last, and may be asked once more
+        self.chance = 1.0  # that the server chosen last has the key cached
         self.wake, self.waits = 0.0, 0  # when a held request goes on, and how often it waited for the origin
         self.role = -1  # the last attempt went to an uncounted home: 0 of the fleet's, 1 of our zone's
 
@@ -132,11 +135,12 @@
         self._age(now)
         self.asked += 1
 
-    def observe(self, now: float, fine: bool, elapsed: float) -> None:
-        """Take in an answer, or the lack of one."""
+    def observe(self, now: float, fine: bool, elapsed: float, enough: float = 0.0) -> None:
+        """Take in an answer, or the lack of one; what came within 'enough' ms is never too slow."""
         self._age(now)
         self.asked += 1
-        quick = fine and elapsed < SLOW_FETCH * self.usual  # a queue shows in the time before it fails
+        # A queue shows in the time before it fails.
+        quick = fine and elapsed < max(enough, SLOW_FETCH * self.usual)
         self.served += quick
         # Guards against a jam that a balancer with a fetch every other second would count too late.
         self.alarm = self.alarm * 0.8 if quick else min(1.0, self.alarm + ALARM)
@@ -370,7 +374,7 @@
             score = (self._lag(now, server) + tracked.cost > limit,
                      (self._load(now, server) + cost) / max(floor, count * idf))
             if score < least:
-                best, least = server, score
+                best, least, tracked.chance = server, score, chance
                 tracked.role = role if not count else -1
         return best
 
@@ -409,7 +413,8 @@
         server = None if tracked.missed else self._choose(now, tracked, entry)
         if tracked.missed or (server is None and not tracked.bad):
             self._fetch(now, tracked, entry)
-        elif server is None or self._hopeless(now, tracked, server) or len(tracked.bad) >= MAX_TURNED:
+        elif (server is None or self._hopeless(now, tracked, server) or len(tracked.bad) >= MAX_TURNED
+                or (self._is_fetch(tracked) and self._is_too_much(now, tracked))):
             self._give_up(now, tracked)
         elif self._send(now, tracked, server):
             self._watch(now, tracked, tracked.role < 0)
@@ -441,7 +446,8 @@
         fade = math.exp2((self.sent_at - now) / HALF_LIFE)
         self.sent_per_ms, self.sent_at = self.sent_per_ms * fade + math.log(2) / HALF_LIFE, now
         if effect == Effect.KEYED and tracked.ran_at < 0:
-            tracked.ran_at, tracked.ran_on = now, server.line.server  # it is out, so it may run
+            # It is out, so it may run.
+            tracked.ran_at, tracked.ran_on, tracked.ran_by = now, server.line.server, len(tracked.tries) - 1
         self.todo.append(Send(tracked.req.id, server.line.server, timeout))
         return True
 
@@ -529,10 +535,11 @@
         server.tally = max(0.0, server.tally - cost)
         self._hear(now, server, event.report)
         if result in NEVER_RAN:
-            if tracked.ran_at == sent_at and tracked.ran_on == number:
+            # By its number: another one may have gone to the same server at the same time, and have run.
+            if tracked.ran_at >= 0 and tracked.ran_by == event.attempt:
                 tracked.ran_at = -1.0
         elif tracked.ran_at < 0:
-            tracked.ran_at, tracked.ran_on = sent_at, number
+            tracked.ran_at, tracked.ran_on, tracked.ran_by = sent_at, number, event.attempt
         self._learn(now, tracked, server, event)
         if event.ended or tracked.ended:
             self._close(now, tracked)
@@ -545,7 +552,13 @@
         lag = event.elapsed - (tracked.cost if result == Result.OK else 0.0)
         # Guards against refusing all because one connection fell silent: where the server has answered what
         # was sent later, a time-out tells of that connection, not of a queue.
-        if result == Result.OK or (result == Result.TIMEOUT and sent_at > server.answered):
+        # Nor does the time that a fetch or a write took at the origin.
+        missed = event.note in (Note.MISS, Note.FETCH_OUT) or (result != Result.OK and tracked.chance < 0.5)
+        at_origin = self.set.mode == "through" and (tracked.req.is_write or missed)
+        if at_origin and missed and result in (Result.OK, Result.ERROR, Result.TIMEOUT):
+            self.guard.observe(now, result == Result.OK, max(0.0, lag), LATE_FETCH * tracked.cls.aim)
+        if not at_origin and (
+                result == Result.OK or (result == Result.TIMEOUT and sent_at > server.answered)):
             server.lag, server.lag_at = max(0.0, lag), now
             if server is not self.origin:
                 self.mean_lag += (server.lag - self.mean_lag) * LAG_SHARE
@@ -577,7 +590,7 @@
         if sent_at <= max(server.failed_at, server.answered) or server is self.origin:
             return
         server.fails, server.failed_at = server.fails + 1, now
-        beyond = server.fails - (1 if result == Result.CONNECT_FAILED else SPOILT)
+        beyond = server.fails - (2 if result == Result.CONNECT_FAILED else SPOILT)
         if beyond >= 0:
             server.back_until = now + BACK_OFF * float(1 << min(beyond, 4)) * self.rng.uniform(0.7, 1.3)
 
@@ -585,8 +598,11 @@
         """Decide what follows an attempt that did not answer the client."""
         if result == Result.MISS:
             tracked.missed.append(server.line.server)
-        else:
+        elif (result not in (Result.ERROR, Result.RESET) or server.fails >= SPOILT
+                or tracked.failed_on == server.line.server):
             tracked.bad.append(server.line.server)
+        # One broken connection or spoilt answer is no reason to go where the key is not cached.
+        tracked.failed_on = server.line.server
         if server is self.origin and result in NEVER_RAN and self._is_origin_work(tracked):
             self._wait(now, tracked)
         elif server is self.origin:
@@ -603,16 +619,29 @@
         elif entry is not None and entry.fetcher not in (0, tracked.req.id) and tracked.missed:
             entry.waiting.append(tracked)
             self._hold(tracked, tracked.deadline - EARLY)
-        elif self.rng.random() < self.guard.now(now) ** (tracked.cls.worth / self.least_worth):
-            self.guard.turned_away(now)
-            self._give_up(now, tracked)  # what is worth least is let through last
-        elif not self._send(now, tracked, self.origin):
+        elif self._is_too_much(now, tracked) or not self._send(now, tracked, self.origin):
             self._give_up(now, tracked)
         elif entry is not None:
             entry.fetcher = tracked.req.id
             for number in tracked.missed[:2]:
                 self._count(now, entry, number, 0.0, 1.0)
 
+    def _is_fetch(self, tracked: Tracked) -> bool:
+        """Whether a server would have to ask the origin for it, as far as we know."""
+        return (self.set.mode == "through" and not tracked.req.is_write and bool(tracked.req.key)
+                and tracked.chance < 0.5)
+
+    def _is_too_much(self, now: float, tracked: Tracked) -> bool:
+        """Tell whether the origin is better spared this fetch.
+
+        Guards against a jam at the origin, in which its fetches hold the servers' places until they fail and
+        what is cached can't be served either. What is worth least is let through last.
+        """
+        if self.rng.random() >= self.guard.now(now) ** (tracked.cls.worth / self.least_worth):
+            return False
+        self.guard.turned_away(now)
+        return True
+
     def _wait(self, now: float, tracked: Tracked) -> None:
         """Let a write wait out a full origin, while there is time; guards against retries in step."""
         pause = 2 * self.guard.usual * (1 << tracked.waits) * self.rng.uniform(0.5, 1.5)
