Refuse what our own core is too small for; give nothing up because we look late

Second copies now go out from 0.65 of the aim, 3% at most; single late fetches are no jam. Ruled out: the library uvloop in place of the loop of the standard library (a trial: its writers raise on a closed connection, the actors died; dropped, also as the house style wants the standard library).

--- a/starlingthread/core/router.py
+++ b/starlingthread/core/router.py
@@ -59,6 +59,7 @@
     key: int
     ends: float  # clock time at which the client gives up
     payload: object  # in the dialect's own form
+    came_at: float  # clock time at which it was whole
     size: float = 0.0
     is_retry: bool = False
     is_write: bool = False
@@ -246,7 +247,7 @@
         request.guard = self.deadlines.set(request.ends + OVERDUE, lambda: self._overdue(request))
         self._handle(api.Request(
             request.id, request.cls, request.ends - now, request.key, size=request.size,
-            is_retry=request.is_retry, is_write=request.is_write), now)
+            is_retry=request.is_retry, is_write=request.is_write, waited=now - request.came_at), now)
 
     def _overdue(self, request: Taken) -> None:
         """Guards against a module that forgets a request: it is owed an answer all the same."""
--- a/starlingthread/interface.py
+++ b/starlingthread/interface.py
@@ -171,6 +171,7 @@
     size: float = 0.0
     is_retry: bool = False
     is_write: bool = False
+    waited: float = 0.0  # ms that it lay here before the module saw it
 
 
 class Outcome(NamedTuple):
--- a/starlingthread/net/clients.py
+++ b/starlingthread/net/clients.py
@@ -16,7 +16,7 @@
 READ = 16384  # bytes read at once; twice as many may lie unread in a connection's reader
 MAX_PIPELINED = 16  # commands of one connection that may be without their answer; then it is not read
 MAX_MALFORMED = 8  # commands of one connection that make no sense; then it is closed
-MAX_UNSENT = 65536  # bytes that a slow reader may leave unsent before its actor waits for it
+MAX_UNSENT = 32768  # bytes that a slow reader may leave unsent before its actor waits for it
 STUCK = 10000.0  # ms for which a client may read nothing of what is written to it; then it is cut off
 SILENT = 2000.0  # ms in which a new connection must say something, and after which any idle one may be closed
 MIDWAY = 2200.0  # ms in which a command must be whole from its first byte on
@@ -111,7 +111,7 @@
             size = item.fields.get("size", "")
             wait = min(item.wait, front.longest[cls])  # nobody waits longer than the class lets them
             request = Taken(
-                self, cls, key_number(item.key), self.used_at + wait - ANSWER_EARLY, item,
+                self, cls, key_number(item.key), self.used_at + wait - ANSWER_EARLY, item, self.used_at,
                 size=float(size) if meta.NUMBER.fullmatch(size) else 0.0,
                 is_retry=item.fields.get("r") == "1", is_write=item.is_write)
             slot.request = request
--- a/starlingthread/net/servers.py
+++ b/starlingthread/net/servers.py
@@ -28,6 +28,7 @@
 STALL = 100.0  # ms for which a part of an answer may wait for the rest of it; it is looked at twice
 RISK_LIFE, RISK_GAIN = 10000.0, 0.1  # ms in which a seen risk halves; weight of one request
 RISK_READ, RISK_WRITE = 0.15, 0.05  # beyond a new connection's: past that none that idle is used for it
+OWN_LATE = 10.0  # ms after which we look late at something that is due
 REST = 3.0  # ms for which a connection rests before it is used again, if another one is at hand
 DOUBT = 50.0  # ms after an answer in which a 'busy' may be a stray line behind it
 PROBE_WAIT = 50.0  # ms in which a probe must be answered
@@ -117,6 +118,7 @@
     """Message: a connection has not come up in time."""
 
     job: Attempt | Probing
+    due: float
 
 
 class Opened(NamedTuple):
@@ -144,6 +146,7 @@
 
     connection: Connection
     sure: bool
+    due: float
 
 
 class Retire(NamedTuple):
@@ -187,9 +190,12 @@
         elif isinstance(message, Broken):
             self._broken(message.connection)
         elif isinstance(message, Stalled):
-            self._stalled(message.connection, message.sure)
+            self._stalled(message.connection, message.sure, message.due)
         elif isinstance(message, ConnectLate):
-            if self._stop_opening(message.job):
+            if message.job in self.opening and self._is_ours(message.due):
+                task, _ = self.opening[message.job]
+                self.opening[message.job] = (task, self._await_opening(message.job))
+            elif self._stop_opening(message.job):
                 self.fleet.counters.note("connections.late")
                 self._report(message.job, api.Result.CONNECT_FAILED)
         else:
@@ -219,9 +225,19 @@
         else:
             self.open += 1
             task = self.fleet.watcher.start(self._open(job), "open", lambda _: self._tell(Opened(job, None)))
-            late = self.fleet.deadlines.set(
-                self.fleet.clock.now() + self.fleet.connect_timeout, lambda: self._tell(ConnectLate(job)))
-            self.opening[job] = (task, late)
+            self.opening[job] = (task, self._await_opening(job))
+
+    def _await_opening(self, job: Attempt | Probing) -> Deadline:
+        due = self.fleet.clock.now() + self.fleet.connect_timeout
+        return self.fleet.deadlines.set(due, lambda: self._tell(ConnectLate(job, due)))
+
+    def _is_ours(self, due: float) -> bool:
+        """Whether we look so late that the fault is ours.
+
+        Guards against giving up, on a core that is too small, connections and answers that are here but not
+        looked at yet: each would be tried again, which takes yet more of the core.
+        """
+        return self.fleet.clock.now() - due > OWN_LATE
 
     def _take_idle(self, is_write: bool) -> Connection | None:
         """Take the connection used last, but one that has rested if there is one.
@@ -358,17 +374,19 @@
 
     def _await_rest(self, connection: Connection, midway: bool, sure: bool) -> None:
         self.fleet.deadlines.clear(connection.stall)
-        connection.stall = self.fleet.deadlines.set(
-            self.fleet.clock.now() + STALL / 2,
-            lambda: self._tell(Stalled(connection, sure))) if midway and not connection.closed else None
+        connection.stall = None
+        if midway and not connection.closed:
+            due = self.fleet.clock.now() + STALL / 2
+            connection.stall = self.fleet.deadlines.set(
+                due, lambda: self._tell(Stalled(connection, sure, due)))
 
-    def _stalled(self, connection: Connection, sure: bool) -> None:
+    def _stalled(self, connection: Connection, sure: bool, due: float) -> None:
         """Guards against an answer that stops short: its rest will not come, and the request has time left.
 
         It is looked at twice, so that after a pause of this process what lies unread is read first.
         """
         connection.stall = None
-        if not sure:
+        if not sure or self._is_ours(due):
             self._await_rest(connection, connection.parser.is_midway(), sure=True)
         elif not connection.closed and connection.parser.is_midway():
             self.fleet.counters.note("servers.stalled")
--- a/starlingthread/policy.py
+++ b/starlingthread/policy.py
@@ -38,16 +38,19 @@
 FETCH_SHARE = 0.15  # of the aim: first guess of an origin fetch's time
 PRESSURE_LIFE = 5000.0  # ms; half-life of what we remember of the origin's answers
 ALARM = 0.25  # what one bad fetch adds to the pressure at once; a quick one takes a fifth off
+SURE = (0.3, 0.7)  # pressure at the origin from which on fetches by servers are spared, and from which on all
 LATE_FETCH = 0.5  # of the aim; a fetch by a server is slow only past this, as its queue is in that time too
 SLOW_FETCH = 4.0  # a fetch that took this many times the usual does not count as served
 PRESSURE_GAIN = 1.5  # the origin may be asked for this many times what it serves, not for more
 MAX_WAITS = 2  # times that a write waits for a full origin before it is given up
 ASK_BACK_OFF = 500.0  # ms; first pause after a failed call for the list, doubled each time, jittered
 MAX_ASK_DOUBLED = 2  # times that it is doubled: a drain counts as told before a pause of many seconds is over
-SECOND = 0.4  # of the aim; what is out longer may get a second copy; half as long again if it was uncounted
-SECONDS = (0.04, 8.0)  # second copies for each request that is sent, and how many may be saved up
+SECOND = 0.65  # of the aim; what is out longer may get a second copy; later still if it was uncounted
+SECONDS = (0.03, 6.0)  # second copies for each request that is sent, and how many may be saved up
 COME_BACK = 0.2  # of the aim; mean of the pause that a refused client is asked for: a retry can still earn
 EARLY = 5.0  # ms; a held request is answered this long before its client gives up
+OWN_LATE = 15.0  # ms that a request may lie before we look at it; past that we have more than we can do
+SHED = (100.0, 0.03, 0.02, 0.8)  # ms between steps; what the share shed grows by, shrinks by, and its most
 MASK = (1 << 64) - 1
 ASK, LOOK = 0, 1 << 60  # timer labels; the others are 1 + the id of a held request
 
@@ -164,6 +167,7 @@
         self.live: dict[int, Tracked] = {}
         self.held: dict[int, Tracked] = {}
         self.slow: list[tuple[float, int]] = []  # a heap: when to look if a request is still out, and its id
+        self.own_lag, self.shed, self.shed_at = 0.0, 0.0, -math.inf  # ms; share of requests; its last step
         self.look_at = math.inf  # when the next of these looks is due
         self.seconds = 0.0  # second copies that may be sent now
         fields = settings.report_fields
@@ -386,11 +390,24 @@
         cls = self.set.classes[req.cls]
         tracked = Tracked(req, cls, now, req.cost or self.work[req.cls])
         self.live[req.id] = tracked
-        if len(self.live) >= self.set.max_open:
+        if len(self.live) >= self.set.max_open or self._is_beyond_us(now, tracked):
             self._give_up(now, tracked)
         else:
             self._route(now, tracked)
 
+    def _is_beyond_us(self, now: float, tracked: Tracked) -> bool:
+        """Tell whether this request is one of those that our own core is too small for.
+
+        Guards against a day on which all wait for us: what we can't do is refused at once and cheaply,
+        worth least first, so that the rest is in time; nor is our own lateness then taken for the servers'.
+        """
+        every, up, down, most = SHED
+        self.own_lag += (tracked.req.waited - self.own_lag) * 0.05
+        if now - self.shed_at >= every:
+            late = self.own_lag > OWN_LATE
+            self.shed_at, self.shed = now, min(most, self.shed + up) if late else max(0.0, self.shed - down)
+        return self.shed > 0 and self.rng.random() < self.shed ** (tracked.cls.worth / self.least_worth)
+
     def _hopeless(self, now: float, tracked: Tracked, server: Server) -> bool:
         """Tell whether an answer would come too late to earn anything (guards against queues of those)."""
         late = self._lag(now, server) + tracked.cost > self._limit(now, tracked)
@@ -459,7 +476,7 @@
             return
         share, most = SECONDS
         self.seconds = min(most, self.seconds + share)
-        due = now + SECOND * tracked.cls.aim * (1.0 if counted else 1.5)
+        due = now + SECOND * tracked.cls.aim * (1.0 if counted else 1.2)
         if due < tracked.deadline:
             heappush(self.slow, (due, tracked.req.id))
             self._look_again()
@@ -487,7 +504,7 @@
             if sent_at > first.answered:  # nothing sent later was answered: it is not the connection alone
                 first.lag, first.lag_at = max(self._lag(now, first), now - sent_at), now
                 self._suspect(now, first, Result.TIMEOUT, sent_at)
-            if self.seconds < 1 or self.mean_lag > SECOND * tracked.cls.aim:
+            if self.seconds < 1 or self.shed or self.mean_lag > 0.4 * tracked.cls.aim:
                 continue
             tracked.bad.append(number)
             key = tracked.req.key
@@ -637,7 +654,10 @@
         Guards against a jam at the origin, in which its fetches hold the servers' places until they fail and
         what is cached can't be served either. What is worth least is let through last.
         """
-        if self.rng.random() >= self.guard.now(now) ** (tracked.cls.worth / self.least_worth):
+        pressure = self.guard.now(now)
+        if self.set.mode == "through":  # a server's answer tells less of the origin than the origin's own
+            pressure = min(1.0, max(0.0, (pressure - SURE[0]) / (SURE[1] - SURE[0])))
+        if self.rng.random() >= pressure ** (tracked.cls.worth / self.least_worth):
             return False
         self.guard.turned_away(now)
         return True
