--- a/starlingthread/policy.py
+++ b/starlingthread/policy.py
@@ -300,16 +300,16 @@
 
     def _count(self, now: float, entry: Key, server: int, add: float, nudge: float) -> None:
         count, at, old = entry.counts.get(server, (0.0, now, 0.0))
-        count = count * math.exp2((at - now) / HALF_LIFE) + add
+        count = max(0.0, count * math.exp2((at - now) / HALF_LIFE) + add)
         entry.counts[server] = (count, now, old + (nudge - old) * NUDGE if nudge else old)
 
     # score
 
-    def _load(self, now: float, server: Server) -> float:
+    def _load(self, now: float, server: Server, lag: float) -> float:
         """Blend our own tally with the last report, which fades to the fleet's mean as it ages."""
         fresh = math.exp2((server.report_at - now) / REPORT_LIFE)
         told = server.report * fresh + self.mean_report * (1 - fresh)
-        return server.tally + max(told, self._lag(now, server))
+        return server.tally + max(told, lag)
 
     def _lag(self, now: float, server: Server) -> float:
         """The waiting to expect: what our last attempt there met, fading to the mean over all servers."""
@@ -367,7 +367,7 @@
             server = self.servers[number]
             if server.back_until > now or number in tracked.bad or number in tracked.missed:
                 continue
-            if not self._warm_enough(now, server, tracked):
+            if server.line.started > 0 and not self._warm_enough(now, server, tracked):
                 continue
             count, nudge = counted.get(number, (0.0, 0.0))
             chance = count / (count + 1) if role < 0 else max(count / (count + 1), self.prior[role])
@@ -375,8 +375,9 @@
             cost = tracked.cost + self._crossing(server, tracked.cls) + (1 - chance) * miss_cost
             # Incident i952281: a crowded zone's homes drew all and refused it while other servers idled, so
             # a server that would be late comes after every one that would not.
-            score = (self._lag(now, server) + tracked.cost > limit,
-                     (self._load(now, server) + cost) / max(floor, count * idf))
+            lag = self._lag(now, server)
+            score = (lag + tracked.cost > limit,
+                     (self._load(now, server, lag) + cost) / max(floor, count * idf))
             if score < least:
                 best, least, tracked.chance = server, score, chance
                 tracked.role = role if not count else -1
@@ -570,7 +571,9 @@
         # Guards against refusing all because one connection fell silent: where the server has answered what
         # was sent later, a time-out tells of that connection, not of a queue.
         # Nor does the time that a fetch or a write took at the origin.
-        missed = event.note in (Note.MISS, Note.FETCH_OUT) or (result != Result.OK and tracked.chance < 0.5)
+        failed = result == Result.ERROR and (tracked.chance < 0.5 or lag > 2 * self.guard.usual)
+        missed = event.note in (Note.MISS, Note.FETCH_OUT) or failed or (
+            result == Result.TIMEOUT and tracked.chance < 0.5)
         at_origin = self.set.mode == "through" and (tracked.req.is_write or missed)
         if at_origin and missed and result in (Result.OK, Result.ERROR, Result.TIMEOUT):
             self.guard.observe(now, result == Result.OK, max(0.0, lag), LATE_FETCH * tracked.cls.aim)
@@ -597,6 +600,8 @@
             if tracked.role >= 0:
                 self.prior[tracked.role] += (hit - self.prior[tracked.role]) * 0.05
             self._count(now, self._key(now, tracked.req.key), server.line.server, 0.0, 1.0 if hit else -1.0)
+        elif tracked.req.key and failed and at_origin:  # nothing was stored there of what we counted
+            self._count(now, self._key(now, tracked.req.key), server.line.server, -1.0, -1.0)
 
     def _suspect(self, now: float, server: Server, result: Result, sent_at: float) -> None:
         """Leave a server alone that fails again and again.
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -508,13 +508,14 @@
         registry.fetch()
         await asyncio.sleep(0.0)
         await asyncio.sleep(0.0)
-        old = registry._watching
+        old, fetch = registry._watching, next(iter(registry._fetching))
         registry.move(("127.0.0.1", 2))
         for _ in range(4):
             await asyncio.sleep(0.0)
         paths = [f"{LIST_PATH}?watch=1&after=0", LIST_PATH]
         assert spoken == [(port, path) for port in (1, 2) for path in paths]
-        assert old is not None and old.cancelled() and registry.counters["registry.failures"] == 0
+        assert old is not None and old.cancelled() and fetch.cancelled()
+        assert registry.counters["registry.failures"] == 0
         assert not place.router.mailbox.take()
         await registry.watcher.stop()
 
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from starlingthread.interface import (
-    ListKind, Member, MemberList, Note, Outcome, Refuse, Request, Result, ServerState,
+    Fail, ListKind, Member, MemberList, Note, Outcome, Refuse, Request, Result, ServerState,
 )
 
 from .world import ASIDE, KEYED, ORIGIN, READ, THROUGH, UNSAFE, World, answers, members, only_send, sends
@@ -227,3 +227,17 @@
     second = only_send(world.end(first, Result.RESET))
     third = only_send(world.end(second, Result.RESET, attempt=1))
     assert first.server == second.server == home != third.server
+
+
+def test_what_never_ran_clears_no_other_attempt_at_the_same_server_and_time() -> None:
+    """Guards the rule on refusals where a broken keyed write goes to the same server again at once."""
+    keyed = THROUGH.classes[KEYED]._replace(group="zone")
+    world = World(THROUGH._replace(classes=(THROUGH.classes[READ], keyed)))
+    first = only_send(world.ask(7, KEYED))
+    second = only_send(world.end(first, Result.RESET, elapsed=0.0))
+    assert second.server == first.server
+    world.balancer.servers[first.server].told_shut = True
+    for server in world.balancer.servers.values():
+        server.back_until = world.now + 9000.0
+    done = world.end(second, Result.CONNECT_FAILED, attempt=1, elapsed=0.0)
+    assert [type(a) for a in answers(done)] == [Fail]
