Spare a jammed origin: failed fetches are not tried again and take back their count

A failed fetch now takes back its count, lowers that chance, teaches the guard and is not tried again; the guard spares all such fetches from a pressure of 0.5 on and remembers it longer.

--- a/starlingthread/policy.py
+++ b/starlingthread/policy.py
@@ -36,9 +36,9 @@
 BACK_OFF = 250.0  # ms; pause after a server failed; doubles, up to 16 times this
 SPOILT = 3  # failures in a row, each sent after the one before was known, that show a server to be at fault
 FETCH_SHARE = 0.15  # of the aim: first guess of an origin fetch's time
-PRESSURE_LIFE = 5000.0  # ms; half-life of what we remember of the origin's answers
+PRESSURE_LIFE = 7000.0  # ms; half-life of what we remember of the origin's answers
 ALARM = 0.25  # what one bad fetch adds to the pressure at once; a quick one takes a fifth off
-SURE = (0.3, 0.7)  # pressure at the origin from which on fetches by servers are spared, and from which on all
+SURE = (0.3, 0.5)  # pressure at the origin from which on fetches by servers are spared, and from which on all
 LATE_FETCH = 0.5  # of the aim; a fetch by a server is slow only past this, as its queue is in that time too
 SLOW_FETCH = 4.0  # a fetch that took this many times the usual does not count as served
 PRESSURE_GAIN = 1.5  # the origin may be asked for this many times what it serves, not for more
@@ -595,13 +595,13 @@
             self.work[tracked.req.cls] += (event.elapsed - work) * (0.03 if event.elapsed > work else 0.1)
         if result == Result.OK:
             self.mean_work += (tracked.cost - self.mean_work) * 0.05
-        if tracked.req.key and (result in (Result.OK, Result.MISS)):
+        failed = failed and at_origin  # nothing was stored there of what we counted
+        if tracked.req.key and (failed or result in (Result.OK, Result.MISS)):
             hit = result == Result.OK and event.note != Note.MISS
             if tracked.role >= 0:
                 self.prior[tracked.role] += (hit - self.prior[tracked.role]) * 0.05
-            self._count(now, self._key(now, tracked.req.key), server.line.server, 0.0, 1.0 if hit else -1.0)
-        elif tracked.req.key and failed and at_origin:  # nothing was stored there of what we counted
-            self._count(now, self._key(now, tracked.req.key), server.line.server, -1.0, -1.0)
+            self._count(now, self._key(now, tracked.req.key), server.line.server,
+                        -1.0 if failed else 0.0, 1.0 if hit else -1.0)
 
     def _suspect(self, now: float, server: Server, result: Result, sent_at: float) -> None:
         """Leave a server alone that fails again and again.
@@ -627,7 +627,7 @@
         tracked.failed_on = server.line.server
         if server is self.origin and result in NEVER_RAN and self._is_origin_work(tracked):
             self._wait(now, tracked)
-        elif server is self.origin:
+        elif server is self.origin or (result == Result.ERROR and self._is_fetch(tracked)):
             self._give_up(now, tracked)  # no unguarded retries at the origin
         else:
             self._route(now, tracked)
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -241,3 +241,12 @@
         server.back_until = world.now + 9000.0
     done = world.end(second, Result.CONNECT_FAILED, attempt=1, elapsed=0.0)
     assert [type(a) for a in answers(done)] == [Fail]
+
+
+def test_a_fetch_that_failed_is_not_tried_again() -> None:
+    """Guards a jammed origin against retries, and our counts against what was never stored."""
+    world = World(THROUGH)
+    world.balancer.prior = [0.1, 0.1]
+    first = only_send(world.ask(9))
+    assert len(answers(world.end(first, Result.ERROR, elapsed=200.0))) == 1
+    assert world.balancer.keys[9].counts[first.server][0] < 0.1 and min(world.balancer.prior) < 0.1
