Tell the module of a spoilt answer as of a broken connection, not as of the server's error

Checked: with the guard of the origin fed by errors, answers that can't be read or stop short (net/servers.py _attempted, _stalled told ERROR) passed for failed fetches; the module refused fetches for seconds. ERROR is now the server's own 'SERVER_ERROR failed' and nothing else; what is spoilt is told as RESET, which may have run just the same.

--- a/starlingthread/net/servers.py
+++ b/starlingthread/net/servers.py
@@ -391,7 +391,7 @@
         elif not connection.closed and connection.parser.is_midway():
             self.fleet.counters.note("servers.stalled")
             if connection.busy is not None:
-                self._report(connection.busy, api.Result.ERROR)
+                self._report(connection.busy, api.Result.RESET)
             self._discard(connection)
 
     def _answered(self, connection: Connection, answer: meta.ServerAnswer) -> None:
@@ -405,16 +405,17 @@
 
     def _attempted(self, connection: Connection, job: Attempt, answer: meta.ServerAnswer) -> None:
         command, kind = job.request.payload, answer.kind
-        result = api.Result.ERROR
+        # A spoilt answer is a broken connection to the module: only the server's own word is its error.
+        result = api.Result.ERROR if kind == meta.Kind.FAILED else api.Result.RESET
         if kind == meta.Kind.BUSY:
             # Guards the never-twice rule: right behind an answer it may be a stray line, and prove nothing.
             doubtful = job.request.is_write and connection.written_at - connection.answered_at < DOUBT
-            result = api.Result.ERROR if doubtful else api.Result.FULL
+            result = api.Result.RESET if doubtful else api.Result.FULL
         elif kind in (meta.Kind.VALUE, meta.Kind.RECEIPT):
             fits = isinstance(command, meta.Command) and command.id == answer.id
             if fits and job.request.is_write == (kind == meta.Kind.RECEIPT):
                 result = api.Result.OK
-        if result == api.Result.ERROR and kind not in (meta.Kind.FAILED, meta.Kind.BUSY):
+        if result == api.Result.RESET and kind != meta.Kind.BUSY:
             # Not an answer to what was asked: nobody knows what the next one on this connection would answer.
             self.fleet.counters.note("servers.bad_answers")
             if self.fleet.counters["servers.bad_answers"] <= MAX_LOGGED:
