--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -221,7 +221,8 @@
         await now.settle()
         assert mute not in now.front.actors and half not in now.front.actors
         assert {now.actor, idle, *fresh} == now.front.actors
-        assert bytes(half.writer.transport.sent) == b"CLIENT_ERROR command not finished\r\n"  # type: ignore[attr-defined]
+        told = half.writer.transport.sent  # type: ignore[attr-defined]
+        assert bytes(told) == b"CLIENT_ERROR command not finished\r\n"
         fresh.append(join(b"mg d v O4 Pc=read,d=5\r\n"))
         await now.settle()
         assert {now.actor, *fresh} == now.front.actors
