Close idle connections before clients hold all the connections they may

Checked by counters: at 4.5 s a router had accepted 371 connections for 800 requests and closed 50 as idle, with 180 open: the requests that were refused never came to it. Now what is idle longest goes after 100 ms while clients hold more than 16% of the descriptors. Ruled out before: shedding, half commands.

--- a/starlingthread/__main__.py
+++ b/starlingthread/__main__.py
@@ -34,6 +34,7 @@
 COLLECT_EVERY = 10000.0  # ms between full collections of garbage
 OWN_SOCKETS = 24  # descriptors for discovery, peers, files, and what is closed but not given back yet
 CLIENT_SHARE = 0.5  # of the rest for clients, whose requests need a third of all; the other half for servers
+COMFORTABLE = 0.16  # of all, for clients: they may hold a third, and those who ask need some free
 OWN_MEMORY = 26  # MB that the program takes by itself; of what is left a part may hold values
 VALUE_SHARE = 0.3
 LEAST_HELD = 2  # MB
@@ -117,7 +118,8 @@
             self.router, ListReader(config.zones, config.kinds), config.discovery, self.watcher)
         self.peers = PeerActor(self.router, config.peers, config.peers_all, config.settings.me)
         self.front = Front(
-            config.settings, self.router, self.watcher, for_clients, held, self.ready)
+            config.settings, self.router, self.watcher, for_clients, int(config.sockets * COMFORTABLE), held,
+            self.ready)
         self.router.fleet, self.router.registry, self.router.peers = self.fleet, self.registry, self.peers
 
     def ready(self) -> bool:
--- a/starlingthread/net/clients.py
+++ b/starlingthread/net/clients.py
@@ -21,10 +21,11 @@
 SILENT = 2000.0  # ms in which a new connection must say something, and after which any idle one may be closed
 MIDWAY = 2200.0  # ms in which a command must be whole from its first byte on
 IDLE = 8000.0  # ms after which an idle connection is closed even if descriptors are plenty
-CROWDED = 0.4  # of the descriptors for clients, from which on what is idle is closed as soon as it may be
+CROWDED = 0.8  # of what clients may comfortably hold, from which on idle connections are closed sooner
+SPARE = 100.0  # ms after which an idle connection goes when clients hold more than that
 SLOW = 500.0  # ms after which a command that is half here is no better than silence when descriptors are out
 MUTE = 100.0  # ms after which a connection that has said nothing is the first to go when descriptors are out
-LOOK_EVERY = 200.0  # ms between looks for connections that are idle, silent or midway
+LOOK_EVERY = 100.0  # ms between looks for connections that are idle, silent or midway
 BACKLOG = 1024  # connections that the system may hold for us
 ACCEPT = 16  # of them that are taken at once, so that what is closed for them is given back in between
 ANSWER_EARLY = 4.0  # ms; d runs from the client's send, and the answer has to travel back as well
@@ -295,12 +296,12 @@
 class Front:
     """Accepts clients and owns their actors."""
 
-    def __init__(self, settings: api.Settings, router: Router, watcher: Watcher, most: int, most_held: int,
-                 ready: Callable[[], bool]) -> None:
+    def __init__(self, settings: api.Settings, router: Router, watcher: Watcher, most: int, comfortable: int,
+                 most_held: int, ready: Callable[[], bool]) -> None:
         self.router, self.watcher = router, watcher
         self.clock, self.counters, self.deadlines = router.clock, router.counters, router.deadlines
         self.held = 0  # bytes of values that all slots hold
-        self.most, self.most_held, self.ready = most, most_held, ready
+        self.most, self.comfortable, self.most_held, self.ready = most, comfortable, most_held, ready
         self.classes = {cls.name: number for number, cls in enumerate(settings.classes)}
         self.longest = [cls.deadline for cls in settings.classes]
         self.open_ids: set[bytes] = set()  # of the requests that are owed an answer
@@ -317,9 +318,17 @@
 
     def _look(self) -> None:
         now = self.clock.now()
-        crowded = len(self.actors) > self.most * CROWDED
+        crowded = len(self.actors) > self.comfortable * CROWDED
         for actor in list(self.actors):
             actor.look(now, crowded)
+        # Guards against clients that keep a connection each for good: those who ask would find none left, and
+        # we would hear nothing of it. So what is idle longest goes before clients hold all they may.
+        ranked = sorted(((rank, actor) for actor in self.actors if (rank := actor.spare(now)) is not None),
+                        key=lambda pair: pair[0])
+        for (_, since), actor in ranked[:max(0, len(self.actors) - self.comfortable)]:
+            if now - since >= SPARE:
+                self.counters.note("clients.shed")
+                actor.make_room()
         self.deadlines.set(now + LOOK_EVERY, self._look)
 
     def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -81,7 +81,7 @@
     def __init__(self) -> None:
         place = Place()
         self.router, self.watcher = place.router, Watcher()
-        self.front = Front(THROUGH, self.router, self.watcher, 10, 1 << 20, lambda: place.router.listed)
+        self.front = Front(THROUGH, self.router, self.watcher, 10, 8, 1 << 20, lambda: place.router.listed)
         self.reader, self.writer = asyncio.StreamReader(), Writer()
         self.actor = ClientActor(self.front, self.reader, self.writer)  # type: ignore[arg-type]
         self.front.actors.add(self.actor)
@@ -232,6 +232,28 @@
     talk(script)
 
 
+def test_clients_that_keep_connections_for_good_leave_some_for_those_who_ask() -> None:
+    """Guards against clients that find no connection left, of which a router hears nothing."""
+    async def script(now: Talk) -> None:
+        now.front.comfortable = 2
+        now.reader.feed_data(READS[:25])
+        readers = [asyncio.StreamReader() for _ in range(3)]
+        for reader in readers:
+            now.front._accept(reader, Writer())  # type: ignore[arg-type]
+            reader.feed_data(b"mn\r\n")
+            await now.settle()
+            now.router.clock.time += 10.0  # type: ignore[attr-defined]
+        now.front._look()
+        await now.settle()
+        assert len(now.front.actors) == 4
+        now.router.clock.time += 85.0  # type: ignore[attr-defined]
+        now.front._look()  # two have been idle for long enough, and there are two too many
+        await now.settle()
+        assert {a.reader for a in now.front.actors} == {now.reader, readers[2]}
+
+    talk(script)
+
+
 def test_a_request_that_crosses_our_close_is_answered_if_it_was_taken_off_the_socket() -> None:
     """Guards against a loss: nobody else can read that request any more, and its client would see a close."""
     async def script(now: Talk) -> None:
