--- a/starlingthread/__main__.py
+++ b/starlingthread/__main__.py
@@ -3,31 +3,23 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import gc
-import json
-import logging
 import math
 import os
-import queue
 import signal
 import sys
-from logging.handlers import QueueHandler, QueueListener
-from pathlib import Path
-from typing import Any, NamedTuple
 
-from . import interface as api
+from . import options
+from .config import Config, ConfigError, read_config
 from .core.actors import Clock, Watcher
 from .core.counters import Counters
 from .core.deadlines import Deadlines
 from .core.router import Router
+from .logs import LogWriter, log
 from .net.clients import Front
 from .net.peers import PeerActor
-from .net.registry import ListError, ListReader, RegistryActor, parse_address
+from .net.registry import ListError, ListReader, RegistryActor
 from .net.servers import ServerFleet
-from .settings import SettingsError, settings_of
-
-log = logging.getLogger("starlingthread")
 
 STILL_ACCEPTING = 0.5  # s after SIGTERM in which new connections are still welcome
 LAST_ANSWERS = 4.5  # s after that in which what was taken may be finished
@@ -35,7 +27,7 @@
 OWN_SOCKETS = 24  # descriptors for discovery, peers, files, and what is closed but not given back yet
 CLIENT_SHARE = 0.5  # of the rest for clients, whose requests need a third of all; the other half for servers
 COMFORTABLE = 0.16  # of all, for clients: they may hold a third, and those who ask need some free
-OWN_MEMORY = 26  # MB that the program takes by itself; of what is left a part may hold values
+OWN_MEMORY = 28  # MB that the program takes by itself; of what is left a part may hold values
 VALUE_SHARE = 0.3
 LEAST_HELD = 2  # MB
 # What a running router can't take over from a new file: bound sockets, and what the module began with.
@@ -43,68 +35,11 @@
     "name", "listen", "sockets", "memory", "cores", "peer_listen", "settings", "zones", "kinds", "idle_close")
 
 
-class ConfigError(Exception):
-    """The configuration makes no sense."""
-
-
-class Config(NamedTuple):
-    """What this router is told."""
-
-    path: str
-    name: str
-    listen: tuple[str, int]
-    discovery: tuple[str, int]
-    seed: int
-    sockets: int
-    memory: float
-    cores: float
-    peer_listen: tuple[str, int] | None
-    peers: list[tuple[str, int]]
-    peers_all: tuple[str, int] | None
-    known: object
-    settings: api.Settings
-    zones: tuple[str, ...]
-    kinds: tuple[str, ...]
-    idle_close: float
-
-
-def read_config(path: str) -> Config:
-    """Read the configuration file, or raise a ConfigError with one plain line."""
-    try:
-        raw: dict[str, Any] = json.loads(Path(path).read_text())
-        settings = raw["settings"]
-        limits = raw.get("limits", {})
-        peer_listen, peers_all = raw.get("peer_listen"), raw.get("peers_all")
-        return Config(
-            path, str(raw.get("name", "")), parse_address(raw["listen"]), parse_address(raw["discovery"]),
-            int(raw.get("seed", "0"), 16),
-            int(limits.get("sockets", 256)), float(limits.get("memory_mb", 32)),
-            max(0.05, float(limits.get("cores", 1.0))),
-            parse_address(peer_listen) if peer_listen else None,
-            [parse_address(p) for p in raw.get("peers", ())],
-            parse_address(peers_all) if peers_all else None, raw.get("known"), settings_of(settings),
-            tuple(settings.get("zones", ())), tuple(settings.get("kinds", ())),
-            float(settings["permissions"].get("idleCloseMs", 15000.0)))
-    except KeyError as error:
-        raise ConfigError(f"{path} lacks {error}") from None
-    except (OSError, ValueError, TypeError, AttributeError, SettingsError) as error:
-        raise ConfigError(f"{path}: {error}") from None
-
-
-class DroppingHandler(QueueHandler):
-    """Hands log lines to the thread that writes them; when that one is stuck they are dropped, not kept."""
-
-    def enqueue(self, record: logging.LogRecord) -> None:
-        """Leave a line, or drop it."""
-        with contextlib.suppress(queue.Full):
-            self.queue.put_nowait(record)
-
-
 class Program:
     """Wires the actors together and ends them."""
 
-    def __init__(self, config: Config) -> None:
-        self.config, self.counters, self.watcher = config, Counters(), Watcher()
+    def __init__(self, config: Config, writer: LogWriter) -> None:
+        self.config, self.writer, self.counters, self.watcher = config, writer, Counters(), Watcher()
         self.stop = asyncio.Event()
         self.code = 0
         self.router = Router(config.settings, config.seed, Clock(), Deadlines(), self.counters)
@@ -139,9 +74,9 @@
 
     def summary(self) -> None:
         """Log the counters, and what is out right now."""
-        log.info("counters %s clients.open=%d connections.open=%d requests.open=%d", self.counters.text(),
-                 len(self.front.actors), sum(a.open for a in self.fleet.actors.values()),
-                 len(self.router.requests))
+        now = {"clients.open": len(self.front.actors), "requests.open": len(self.router.requests),
+               "connections.open": sum(a.open for a in self.fleet.actors.values())}
+        log.info("counters", **dict(sorted(self.counters.items())), **now)
 
     def reload(self) -> None:
         """Read the configuration file anew. What can change while serving does; the rest waits for a restart.
@@ -152,15 +87,27 @@
             new = read_config(self.config.path)
         except ConfigError as error:
             self.counters.note("reloads.failed")
-            log.error("reload-failed why=%s", " ".join(str(error).split()))
+            log.error("reload-failed", why=" ".join(str(error).split()))
             return
+        self._reload_options()
         self.counters.note("reloads.done")
         # Always asked anew: whatever discovery has to tell counts as told soon, wherever it is now.
         self.registry.move(new.discovery)
         self.peers.move(new.peers, new.peers_all)
         kept = [name for name in NEEDS_RESTART if getattr(new, name) != getattr(self.config, name)]
         self.config = new._replace(**{name: getattr(self.config, name) for name in kept})
-        log.info("reloaded discovery=%s:%d needs-restart=%s", *new.discovery, ",".join(kept) or "nothing")
+        log.info("reloaded", discovery=f"{new.discovery[0]}:{new.discovery[1]}",
+                 **{"needs-restart": ",".join(kept) or "nothing"})
+
+    def _reload_options(self) -> None:
+        """Read the operator's file anew; one that is no good changes nothing."""
+        try:
+            new = options.read(options.where())
+        except options.OptionsError as error:
+            self.counters.note("reloads.options_failed")
+            log.error("options-failed", why=" ".join(str(error).split()))
+            return
+        self.writer.set(new.log)
 
     def _collect(self) -> None:
         """Collect all garbage, now and then. It holds up every answer, so the longest time is kept."""
@@ -185,7 +132,7 @@
         if self.config.peer_listen is not None:
             await self.peers.listen(*self.config.peer_listen)
         await self.front.listen(*self.config.listen)
-        log.info("started name=%s servers=%d", self.config.name, len(self.router.module.servers))
+        log.info("started", name=self.config.name, servers=len(self.router.module.servers))
         # What lives as long as the program is never looked at again; the young are collected in small bites,
         # and all of it at times of our own: connections leave cycles behind, which would pile up all day.
         gc.collect()
@@ -194,12 +141,12 @@
         self._collect()
         await self.stop.wait()
         if self.code == 0:
-            log.info("stopping requests.open=%d", len(self.router.requests))
+            log.info("stopping", **{"requests.open": len(self.router.requests)})
             await asyncio.sleep(STILL_ACCEPTING)
             try:
                 await asyncio.wait_for(self.front.drain(), LAST_ANSWERS)
             except TimeoutError:
-                log.warning("stopped-late requests.open=%d", len(self.router.requests))
+                log.warning("stopped-late", **{"requests.open": len(self.router.requests)})
         self.fleet.close()
         self.peers.close()
         await self.watcher.stop()
@@ -216,19 +163,18 @@
     except ConfigError as error:
         print(f"starlingthread: {error}", file=sys.stderr)
         return 1
-    # Log lines are written by a thread of their own: a full pipe must not hold up an answer.
-    lines: queue.Queue[object] = queue.Queue(1000)
-    handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(logging.Formatter("%(asctime)s %(levelname)s %(message)s"))
-    listener = QueueListener(lines, handler)
-    for logger in (log, logging.getLogger("asyncio")):
-        logger.addHandler(DroppingHandler(lines))
-        logger.propagate = False
-    log.setLevel(logging.INFO)
-    listener.start()
+    own, why = options.Options(), ""
+    try:
+        own = options.read(options.where())
+    except options.OptionsError as error:
+        why = " ".join(str(error).split())
+    writer = LogWriter(own.log)
+    if why:
+        # A router that comes back after a crash must not stay away for a file that was edited meanwhile.
+        log.error("options-failed", why=why)
 
     async def serve() -> int:
-        return await Program(config).run()
+        return await Program(config, writer).run()
 
     try:
         return asyncio.run(serve())
@@ -236,7 +182,7 @@
         print(f"starlingthread: {error}", file=sys.stderr)
         return 1
     finally:
-        listener.stop()
+        writer.stop()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/starlingthread/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- a/starlingthread/core/actors.py
+++ b/starlingthread/core/actors.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import time
 from collections import deque
 from collections.abc import Callable, Coroutine
 from typing import Any, Generic, TypeVar
 
+from ..logs import log
+
 T = TypeVar("T")
-log = logging.getLogger("starlingthread")
 
 
 class Clock:
@@ -91,7 +91,7 @@
             self._tasks.discard(done)
             error = None if done.cancelled() else done.exception()
             if error is not None:
-                log.error("actor-died name=%s error=%r", name, error, exc_info=error)
+                log.error("actor-died", name=name, error=repr(error), exc_info=error)
                 on_death(error)
 
         task.add_done_callback(ended)
--- a/starlingthread/core/router.py
+++ b/starlingthread/core/router.py
@@ -6,20 +6,18 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import math
 import time
 from dataclasses import dataclass
 from typing import NamedTuple, Protocol, TypeAlias
 
 from .. import interface as api
+from ..logs import log
 from ..policy import Balancer
 from .actors import Clock, Mailbox
 from .counters import Counters
 from .deadlines import Deadline, Deadlines
 
-log = logging.getLogger("starlingthread")
-
 OVERDUE = 15.0  # ms past a request's end at which we answer for a module that has not
 MAILBOX = 20000  # messages; past that new requests are turned away unseen
 MAX_ERRORS_LOGGED = 50
@@ -240,7 +238,7 @@
         except Exception:
             self.counters.note("module.errors")
             if self.counters["module.errors"] <= MAX_ERRORS_LOGGED:
-                log.exception("module-error event=%r", event)
+                log.exception("module-error", input=repr(event))
             actions = []
             if isinstance(event, api.Request | api.Outcome) and event.id in self.requests:
                 self._finish(self.requests[event.id], Failed())
@@ -269,7 +267,7 @@
         """Guards against a module that forgets a request: it is owed an answer all the same."""
         if not request.over:
             self.counters.note("requests.overdue")
-            log.warning("overdue request=%d class=%d sends=%d", request.id, request.cls, request.sends)
+            log.warning("overdue", request=request.id, sends=request.sends, **{"class": request.cls})
             self._finish(request, Failed())
             self._handle(api.Withdrawn(request.id))
 
@@ -374,4 +372,4 @@
             elif isinstance(action, api.FetchList):
                 self.registry.fetch()
             else:
-                log.info("module %s", action.text)
+                log.info("module", text=action.text)
--- a/starlingthread/emulator/faults.py
+++ b/starlingthread/emulator/faults.py
@@ -8,6 +8,7 @@
 import signal
 import time
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Protocol
 
 import numpy as np
@@ -78,8 +79,8 @@
     return tuple(sorted(int(n) for n in rng.choice(boxes, size=min(count, boxes), replace=False)))
 
 
-ON_BOXES = {"slow", "pause", "silent", "crash", "replace", "reset", "late-reports", "spoilt", "half-answers",
-            "shrink", "zone-dark"}
+ON_BOXES = {"slow", "pause", "pauses", "heavy-tail", "silent", "crash", "replace", "reset", "late-reports", "spoilt",
+            "half-answers", "shrink", "zone-dark"}
 
 
 class Faults:
@@ -122,6 +123,13 @@
         if kind in FIGURES:
             for number in struck:
                 await stage.box_set(number, FIGURES[kind][0], strength)
+        elif kind == "heavy-tail":
+            for number in struck:
+                await stage.box_set(number, "tail_share", fault.share)
+                await stage.box_set(number, "tail", strength)
+        elif kind == "pauses":
+            for place, number in enumerate(struck):
+                self.later(fault.every_s * place / len(struck), partial(self._pauses, fault, number))
         elif kind == "pause":
             await _each(stage, struck, "freeze")
         elif kind in ("silent", "zone-dark"):
@@ -164,6 +172,9 @@
         if kind in FIGURES:
             for number in struck:
                 await stage.box_set(number, *FIGURES[kind])
+        elif kind == "heavy-tail":
+            for number in struck:
+                await stage.box_set(number, "tail_share", 0.0)
         elif kind == "pause":
             await _each(stage, struck, "thaw")
         elif kind in ("silent", "zone-dark"):
@@ -186,6 +197,14 @@
             for number in struck:
                 stage.signal_router(number, signal.SIGCONT)
 
+    async def _pauses(self, fault: Fault, number: int) -> None:
+        """Pause a box again and again; boxes struck together pause one after another."""
+        for _ in range(max(1, int(fault.length_s / fault.every_s))):
+            await _each(self.stage, (number,), "freeze")
+            await asyncio.sleep(fault.strength / 1000.0)
+            await _each(self.stage, (number,), "thaw")
+            await asyncio.sleep(max(0.0, fault.every_s - fault.strength / 1000.0))
+
     def _list_later(self, struck: tuple[int, ...], status: str, delay_ms: float, restarted: bool = False) -> None:
         async def change() -> None:
             for number in struck:
--- a/starlingthread/emulator/judge.py
+++ b/starlingthread/emulator/judge.py
@@ -19,7 +19,7 @@
 
 MOST_SHOWN = 200  # violations of one rule that are kept in words; all are counted
 PUSHED_BY_TOLD = 2.0 / 3.0  # share of a cold box's work from routers that knew, from which on they are to blame
-QUIET_KINDS = {"pause", "silent", "zone-dark", "half-answers", "crash", "replace"}
+QUIET_KINDS = {"pause", "pauses", "silent", "zone-dark", "half-answers", "crash", "replace"}
 
 
 class Violation(msgspec.Struct):
--- a/starlingthread/emulator/model.py
+++ b/starlingthread/emulator/model.py
@@ -165,6 +165,7 @@
         self.number, self.spec, self.schedule, self.origin = number, spec, schedule, origin
         self.base_speed = speed
         self.slow = 1.0  # how many times slower it is now
+        self.tail, self.tail_share = 1.0, 0.0  # how many times longer a share of the commands takes
         self.extra_delay = 0.0  # ms by which reports are older
         self.on_fall: Callable[[tuple[str, ...]], None] = lambda rids: None
         self._draws, self._chances = Draws(rng, spec.work_cv), Chances(rng)
@@ -255,6 +256,8 @@
         else:
             self._note(job)
             work = self.spec.hit_ms + (0.0 if job.note == "h1" else self.spec.miss_ms)
+        if self.tail_share and self._chances.next() < self.tail_share:
+            work *= self.tail
         life = self.life
         self.schedule.after(
             self._duration(work * self._draws.next()), lambda: self._worked(life, job))
--- a/starlingthread/emulator/routers.py
+++ b/starlingthread/emulator/routers.py
@@ -84,10 +84,9 @@
         """Write down what happened to it."""
         self.ledger.routers.append(RouterEvent(self.number, what, time.monotonic() * 1000.0, code))
 
-    async def start(self, discovery_port: int, peers: list[tuple[str, int]], everyone: tuple[str, int],
-                    known: dict[str, Any]) -> None:
-        """Write its configuration and start it."""
-        self.starts += 1
+    def configure(self, discovery_port: int, peers: list[tuple[str, int]], everyone: tuple[str, int],
+                  known: dict[str, Any]) -> Path:
+        """Write its configuration; return where."""
         routers = self.scenario.routers
         config = {
             "name": self.name, "listen": _text(self.listen), "discovery": f"127.0.0.1:{discovery_port}",
@@ -98,8 +97,16 @@
             "settings": settings_of(self.scenario, self.number)}
         path = self.folder / f"{self.name}.json"
         path.write_text(json.dumps(config))
+        return path
+
+    async def start(self, discovery_port: int, peers: list[tuple[str, int]], everyone: tuple[str, int],
+                    known: dict[str, Any]) -> None:
+        """Write its configuration and start it."""
+        self.starts += 1
+        routers = self.scenario.routers
+        path = self.configure(discovery_port, peers, everyone, known)
         environment = {**os.environ, "LB_CONFIG": str(path), "LB_NAME": self.name,
-                       "LB_LISTEN": str(config["listen"]), "LB_DISCOVERY": str(config["discovery"])}
+                       "LB_LISTEN": _text(self.listen), "LB_DISCOVERY": f"127.0.0.1:{discovery_port}"}
         command = routers.command or (sys.executable, "-m", "starlingthread")
         self._log = (self.folder / f"{self.name}.log").open("ab")
         self.expected_to_end = False
--- a/starlingthread/emulator/run.py
+++ b/starlingthread/emulator/run.py
@@ -9,7 +9,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -82,6 +82,7 @@
         self._front: set[asyncio.Task[None]] = set()
         self._failed: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._over = False
+        self.has_clients = True
         self._notices: dict[int, asyncio.Task[None]] = {}
         self._shunned: set[int] = set()  # routers that the front leaves alone
 
@@ -89,8 +90,8 @@
 
     def _roles(self) -> list[tuple[str, int]]:
         machine = self.scenario.machine
-        return [*(("boxes", n) for n in range(machine.box_processes)),
-                *(("clients", n) for n in range(machine.load_processes))]
+        clients = machine.load_processes if self.has_clients else 0
+        return [*(("boxes", n) for n in range(machine.box_processes)), *(("clients", n) for n in range(clients))]
 
     def _message(self, channel: Channel, message: list[Any]) -> None:
         kind = message[0]
@@ -179,13 +180,15 @@
         self._notice_later(number, self.scenario.traffic.front_notices_ms / 1000.0)
         await self.routers[number].kill()
 
+    def _place_of(self, number: int) -> tuple[int, list[tuple[str, int]], tuple[str, int], dict[str, Any]]:
+        """Return what a router is told of the platform."""
+        return (self.discovery.ports[number], self.relay.addresses, self.relay.everyone, self.discovery.snapshot())
+
     async def start_router(self, number: int) -> None:
-        known = self.discovery.snapshot()
         at = self.schedule.now()
         self.ledger.told.extend(Told(number, e.number, e.status, at, e.started_at)
                                 for e in self.discovery.entries.values())
-        await self.routers[number].start(
-            self.discovery.ports[number], self.relay.addresses, self.relay.everyone, known)
+        await self.routers[number].start(*self._place_of(number))
         if not await self.routers[number].is_ready():
             raise RunError(f"router r{number} did not get ready; the end of its log:\n"
                            f"{self.routers[number].log_tail()}")
@@ -212,12 +215,40 @@
 
     async def play(self) -> Outcome:
         """Play the whole run. Raise a RunError if something of the emulator's own fails."""
+        async with self._platform():
+            await self._start_routers()
+            await self._start_clients()
+            await self._go()
+            return await self._collect()
+
+    async def hold(self, routers: bool, seconds: float | None, say: Callable[[str], None]) -> None:
+        """Bring the platform up without clients, tell where it listens, play the faults."""
+        self.has_clients = False
+        async with self._platform():
+            for entry in self.discovery.entries.values():
+                say(f"box {entry.number} {entry.name} {entry.zone} {entry.address}")
+            for router in self.routers:
+                if routers:
+                    await self.start_router(router.number)
+                    say(f"router {router.name} listens at {router.listen[0]}:{router.listen[1]}")
+                else:
+                    path = router.configure(*self._place_of(router.number))
+                    say(f"router {router.name}: LB_CONFIG={path} python -m starlingthread")
+            self.ledger.started_at = self.schedule.now()
+            playing = asyncio.create_task(self.faults.play(self.ledger.started_at))
+            try:
+                await asyncio.sleep(seconds if seconds is not None else 1e9)
+            finally:
+                playing.cancel()
+
+    @contextlib.asynccontextmanager
+    async def _platform(self) -> AsyncIterator[None]:
+        """Boxes, discovery and relay, and all that was started taken down at the end."""
         server = await asyncio.get_running_loop().create_server(
             lambda: Channel(self._message, self._ended), "127.0.0.1", 0)
         try:
             await self._set_up(server.sockets[0].getsockname()[1])
-            await self._go()
-            return await self._collect()
+            yield
         except (ConnectionError, RuntimeError) as error:
             raise RunError(f"the emulator failed: {error}") from error
         finally:
@@ -266,8 +297,14 @@
         self.discovery.entries = dict(self._entries)
         await self.discovery.start()
         await self.relay.start([r.peer_listen for r in self.routers])
-        self.progress(0.0, scenario.length_s, "starting routers")
+
+    async def _start_routers(self) -> None:
+        self.progress(0.0, self.scenario.length_s, "starting routers")
         await asyncio.gather(*(self.start_router(r.number) for r in self.routers))
+
+    async def _start_clients(self) -> None:
+        scenario = self.scenario
+        plain = msgspec.to_builtins(scenario)
         addresses = [r.listen for r in self.routers]
         await asyncio.gather(*(self.workers[("clients", n)].call("setup", plain, addresses)
                                for n in range(scenario.machine.load_processes)))
@@ -351,3 +388,15 @@
         return uvloop.run(whole(folder))
     with tempfile.TemporaryDirectory(prefix="starlingthread-") as temporary:
         return uvloop.run(whole(Path(temporary)))
+
+
+def emulate(scenario: Scenario, folder: Path, routers: bool, seconds: float | None,
+            say: Callable[[str], None]) -> None:
+    """Bring up the platform without clients and hold it until the time is over or a KeyboardInterrupt comes."""
+    check_machine(scenario)
+    folder.mkdir(parents=True, exist_ok=True)
+
+    async def whole() -> None:
+        await Run(scenario, folder).hold(routers, seconds, say)
+
+    uvloop.run(whole())
--- a/starlingthread/emulator/scenario.py
+++ b/starlingthread/emulator/scenario.py
@@ -7,7 +7,7 @@
 
 import tomllib
 from pathlib import Path
-from typing import Annotated, Any, Literal
+from typing import Annotated, Any, Literal, get_args
 
 import msgspec
 from msgspec import Meta
@@ -19,9 +19,9 @@
 Name = Annotated[str, Meta(pattern="^[a-z0-9][a-z0-9-]{0,40}$")]
 Effect = Literal["repeatable", "by_key", "once"]
 FaultKind = Literal[
-    "slow", "pause", "silent", "crash", "replace", "reset", "late-reports", "spoilt", "half-answers",
-    "garbage-clients", "half-commands", "leaving-clients", "lost-datagrams", "discovery-down", "kill-router",
-    "stop-router", "restart-router", "shrink", "zone-dark", "origin-jam", "surge"]
+    "slow", "pause", "pauses", "heavy-tail", "silent", "crash", "replace", "reset", "late-reports", "spoilt",
+    "half-answers", "garbage-clients", "half-commands", "leaving-clients", "lost-datagrams", "discovery-down",
+    "kill-router", "stop-router", "restart-router", "shrink", "zone-dark", "origin-jam", "surge"]
 
 DAY_LIMIT = 24 * 3600.0
 MAX_OPERATIONS = 20_000_000  # arrivals are drawn ahead and lie in memory: about 40 bytes each
@@ -119,6 +119,7 @@
     """What clients ask for. Arrivals are drawn ahead and wait for no answer."""
 
     rate: Positive = 600.0
+    in_flight: Annotated[int, Meta(ge=0, le=4096)] = 0  # above 0: a closed loop that keeps so many out; no rate then
     warmup_s: NotNegative = 2.0
     keys: Count = 5000
     zipf: NotNegative = 1.0
@@ -164,6 +165,8 @@
     name: str = ""
     boxes: tuple[int, ...] = ()
     part: Share = 0.0
+    share: Share = 0.02  # of the commands, for heavy-tail
+    every_s: Positive = 1.0  # between the beginnings of pauses
     routers: tuple[int, ...] = ()
     zone: str = ""
 
@@ -200,6 +203,8 @@
 # Strengths that make sense, by kind: least, most, and what the figure is.
 STRENGTHS: dict[str, tuple[float, float, str]] = {
     "slow": (1.0, 1000.0, "how many times slower"),
+    "pauses": (1.0, 10000.0, "ms of each pause"),
+    "heavy-tail": (1.0, 1000.0, "how many times longer a share of the commands takes"),
     "reset": (0.0, 1.0, "share of answers that become a reset"),
     "late-reports": (0.0, 60000.0, "ms by which load reports are older"),
     "spoilt": (0.0, 1.0, "share of answers that are spoilt"),
@@ -289,6 +294,8 @@
     except msgspec.ValidationError as error:
         message, _, key = str(error).partition(" - at `$")
         key = key.rstrip("`").lstrip(".") or "the top level"
+        if key.startswith("faults[") and key.endswith(".kind"):
+            message += f", expected one of {', '.join(get_args(FaultKind))}"
         raise ScenarioError(f"{where}: {key}: {message[:1].lower()}{message[1:]}") from None
     return check(scenario, where)
 
--- a/starlingthread/load/client.py
+++ b/starlingthread/load/client.py
@@ -101,6 +101,7 @@
         self._next = 0
         self._turn = worker
         self._waiting = 0
+        self._over_all = False
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
         self._padding = b"s" * self.traffic.write_bytes
@@ -123,19 +124,34 @@
     def begin(self, started_at: float) -> None:
         """Send from this moment on (ms)."""
         self.started_at = started_at
-        self._tick()
+        if self.traffic.in_flight:
+            first = self.traffic.in_flight // self.scenario.machine.load_processes
+            for _ in range(max(1, first)):
+                self._loop.call_later(max(0.0, (started_at - self.now()) / 1000.0), self._another)
+        else:
+            self._tick()
+
+    def _another(self) -> None:
+        """In a closed loop: ask for the next as soon as one has ended, until the time is over."""
+        now = self.now()
+        if now >= self.started_at + self.scenario.length_s * 1000.0 or self._over_all:
+            self._over_all = True
+            if not self._waiting:
+                self.done.set()
+            return
+        self._ask(self._next % len(self.at), now, now)
+
+    def _ask(self, place: int, due: float, now: float) -> None:
+        number, self._next = self._next, self._next + 1
+        op = Operation(number * self.scenario.machine.load_processes + self.worker, self.cls[place], due, now - due)
+        self.ledger.operations.append(op)
+        self._waiting += 1
+        self._try(Pending(op, self.traffic.classes[op.cls], self.keys[place]))
 
     def _tick(self) -> None:
         now = self.now()
         while self._next < len(self.at) and self.started_at + self.at[self._next] <= now:
-            number = self._next
-            self._next += 1
-            due = self.started_at + self.at[number]
-            op = Operation(number * self.scenario.machine.load_processes + self.worker, self.cls[number], due,
-                           now - due)
-            self.ledger.operations.append(op)
-            self._waiting += 1
-            self._try(Pending(op, self.traffic.classes[op.cls], self.keys[number]))
+            self._ask(self._next, self.started_at + self.at[self._next], now)
         if self._next < len(self.at):
             self._loop.call_later(TICK, self._tick)
         elif not self._waiting:
@@ -200,7 +216,8 @@
     async def _open_and_write(self, job: Pending, attempt: Try) -> None:
         connection = await self._connect(attempt.router)
         if connection is None or connection.over:
-            self._over(job, attempt, "refused")
+            # Sent once before: then the router died with it, and it may have run.
+            self._over(job, attempt, "eof" if job.resent else "refused")
         else:
             self._write(connection, job, attempt)
 
@@ -249,10 +266,10 @@
         attempt = job.tries[-1]
         if job.timer is not None:
             job.timer.cancel()
-        if connection.used > 1 and not connection.buffer and not job.resent:
-            # Our request crossed its close: the router has not read it, so it is sent once more.
+        if not connection.buffer and not job.resent:
+            # Our request crossed its close between requests: as nobody read it, it is sent once more, on a new one.
             job.resent = True
-            self._send(job, attempt)
+            self._task(self._open_and_write(job, attempt))
             return
         if connection.buffer:
             attempt.fault = "stopped in the middle of an answer"
@@ -328,7 +345,9 @@
             op.result = "failed"
         op.done_at = op.done_at or self.now()
         self._waiting -= 1
-        if self._next >= len(self.at) and not self._waiting:
+        if self.traffic.in_flight:
+            self._loop.call_soon(self._another)
+        elif self._next >= len(self.at) and not self._waiting:
             self.done.set()
 
     # bad clients
--- a/starlingthread/net/clients.py
+++ b/starlingthread/net/clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import hashlib
+import select
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -244,18 +245,28 @@
     async def _has_nothing_unread(self) -> bool:
         """Guards the request that crosses our close: what was taken off the socket is owed an answer.
 
-        No more is taken, and the reader gets one turn; what then lies unread the client sends again.
+        What still lies in the socket is taken too: after we stood still for a while, all connections look idle,
+        and those whose requests nobody has read yet were closed. No more is taken after that, and the reader
+        gets one turn; what crosses even this the client sends again.
         """
         transport = self.writer.transport
         if not transport.is_closing():
             transport.pause_reading()  # type: ignore[attr-defined]
         await asyncio.sleep(0)
-        if self._is_over():
+        if self._is_over() and not self._has_unread_bytes():
             return True
         if not transport.is_closing():
             transport.resume_reading()  # type: ignore[attr-defined]
         return False
 
+    def _has_unread_bytes(self) -> bool:
+        """Ask the system whether bytes (or the client's close) wait to be read."""
+        if self.writer.transport.is_closing():
+            return False
+        waiting = select.poll()
+        waiting.register(self.writer.get_extra_info("socket"), select.POLLIN)
+        return bool(waiting.poll(0))
+
     async def _drain(self) -> None:
         """Wait for a slow reader, for a while: its answers take memory, and its connection a descriptor."""
         limit = self.front.deadlines.set(self.front.clock.now() + STUCK, self._cut_off)
--- a/starlingthread/net/registry.py
+++ b/starlingthread/net/registry.py
@@ -5,7 +5,6 @@
 import asyncio
 import hashlib
 import json
-import logging
 from collections.abc import Collection
 from typing import Any, NamedTuple, TypeAlias
 
@@ -15,8 +14,7 @@
 from ..core.actors import Mailbox, Watcher
 from ..core.deadlines import Deadline
 from ..core.router import Listed, Router
-
-log = logging.getLogger("starlingthread")
+from ..logs import log
 
 SILENCE = 3000.0  # ms without a byte after which a call has failed; a watch says something every 2 s
 CONNECT = 1000.0  # ms in which discovery must accept; a machine that is gone says nothing at all
@@ -178,7 +176,7 @@
 
     def _failed(self, why: str) -> None:
         self.counters.note("registry.failures")
-        log.info("registry-failed why=%s", why)
+        log.info("registry-failed", why=why)
         self.router.mailbox.must_put(
             Listed(api.MemberList(api.ListKind.FAILED, self.index), {}))
 
--- a/starlingthread/net/servers.py
+++ b/starlingthread/net/servers.py
@@ -7,16 +7,15 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from typing import NamedTuple, TypeAlias
 
 from .. import interface as api
 from ..core.actors import Mailbox, Watcher
 from ..core.deadlines import Deadline
 from ..core.router import Attempt, Ended, Listed, Router
+from ..logs import log
 from . import meta
 
-log = logging.getLogger("starlingthread")
 
 READ = 65536
 MAILBOX = 10000
@@ -419,8 +418,8 @@
             # Not an answer to what was asked: nobody knows what the next one on this connection would answer.
             self.fleet.counters.note("servers.bad_answers")
             if self.fleet.counters["servers.bad_answers"] <= MAX_LOGGED:
-                log.info("bad-answer server=%s:%d kind=%s says=%r", *connection.address, kind.name,
-                         b"".join(answer.text)[:80])
+                log.info("bad-answer", server=f"{connection.address[0]}:{connection.address[1]}", kind=kind.name,
+                         says=repr(b"".join(answer.text)[:80]))
             self._report(job, result)
             self._discard(connection)
             return
--- /dev/null
+++ b/starlingthread/options.py
@@ -0,0 +1,63 @@
+"""The operator's own file: settings of the program that the platform does not give. Each is off by default.
+
+``STARLINGTHREAD_OPTIONS`` names it; else ``deploy/starlingthread.toml`` under the working directory is read if it is
+there. A file that is no good is never a reason for a running router to end: what it had stands.
+"""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from pathlib import Path
+from typing import Literal
+
+import msgspec
+
+VARIABLE = "STARLINGTHREAD_OPTIONS"
+USUAL = Path("deploy/starlingthread.toml")
+
+
+class OptionsError(Exception):
+    """The operator's file makes no sense; the text names the file, the key and what was expected."""
+
+
+class Log(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """How log lines are written."""
+
+    format: Literal["text", "logfmt", "json"] = "text"
+    level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+class Options(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """The whole file."""
+
+    log: Log = Log()
+
+
+def where() -> Path | None:
+    """Return the file that counts, None if there is none."""
+    named = os.environ.get(VARIABLE)
+    return Path(named) if named else USUAL if USUAL.is_file() else None
+
+
+def parse(text: str, name: str) -> Options:
+    """Parse a file's text. Raise an OptionsError."""
+    try:
+        return msgspec.convert(tomllib.loads(text), Options)
+    except tomllib.TOMLDecodeError as error:
+        raise OptionsError(f"{name}: not valid TOML: {error}") from None
+    except msgspec.ValidationError as error:
+        message, _, key = str(error).partition(" - at `$")
+        raise OptionsError(
+            f"{name}: {key.rstrip('`').lstrip('.') or 'the top level'}: {message[:1].lower()}{message[1:]}") from None
+
+
+def read(path: Path | None) -> Options:
+    """Read a file; None gives the defaults. Raise an OptionsError."""
+    if path is None:
+        return Options()
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise OptionsError(f"{path}: {error}") from None
+    return parse(text, str(path))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -59,6 +59,10 @@
 
     def __init__(self) -> None:
         self.transport = Transport()
+        self.mine, self.other = socket.socketpair()  # bytes that lie in the system, unread by the program
+
+    def get_extra_info(self, name: str) -> socket.socket:
+        return self.mine
 
     def writelines(self, parts: tuple[bytes, ...]) -> None:
         assert not self.transport.gone
@@ -70,6 +74,8 @@
 
     def close(self) -> None:
         self.transport.gone = True
+        self.mine.close()
+        self.other.close()
 
 
 # clients
