--- a/starlingthread/emulator/boxes.py
+++ b/starlingthread/emulator/boxes.py
@@ -14,6 +14,7 @@
 import numpy as np
 
 from .model import BoxModel, Chances, Job
+from .ports import free_port
 from .records import ANSWERED, CUT, FAILED, RUN, TURNED_AWAY, BoxEvent, Delivery, Ledger
 
 MAX_LINE = 4096
@@ -237,8 +238,8 @@
         """Listen, at the same address as before if there was one."""
         listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.port = self.port or free_port(socket.SOCK_STREAM)
         listening.bind(("127.0.0.1", self.port))
-        self.port = listening.getsockname()[1]
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(lambda: BoxConnection(self), sock=listening, backlog=BACKLOG)
         self.is_up = True
--- a/starlingthread/emulator/channel.py
+++ b/starlingthread/emulator/channel.py
@@ -10,7 +10,7 @@
 
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder().decode
-MAX_FRAME = 1 << 31
+MAX_HELLO = 64  # bytes of the first message; who sends more is none of ours
 
 
 class Channel(asyncio.Protocol):
@@ -40,6 +40,9 @@
         at = 0
         while len(self._buffer) - at >= 4:
             size = int.from_bytes(self._buffer[at:at + 4], "little")
+            if not self.name and size > MAX_HELLO:
+                self.transport.abort()  # a stranger, such as a router that takes this port for a box that is gone
+                return
             if len(self._buffer) - at - 4 < size:
                 break
             message = _decode(bytes(self._buffer[at + 4:at + 4 + size]))
--- a/starlingthread/emulator/routers.py
+++ b/starlingthread/emulator/routers.py
@@ -15,6 +15,7 @@
 
 import psutil
 
+from .ports import free_port
 from .records import Ledger, RouterEvent, RouterSample
 from .scenario import Scenario
 
@@ -22,14 +23,6 @@
 PEER_PRICE = 0.01
 
 
-def free_port(kind: socket.SocketKind) -> int:
-    """Return a port that nobody holds right now."""
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 def _text(address: tuple[str, int]) -> str:
     return f"{address[0]}:{address[1]}"
 
--- a/starlingthread/emulator/run.py
+++ b/starlingthread/emulator/run.py
@@ -95,7 +95,9 @@
 
     def _message(self, channel: Channel, message: list[Any]) -> None:
         kind = message[0]
-        if kind == "f":
+        if not channel.name and kind != "hello":
+            channel.transport.abort()
+        elif kind == "f":
             self.origin.fetch(message[2], lambda version: channel.send("o", message[1], version))
         elif kind == "w":
             self.origin.write(message[2], message[3], lambda version: channel.send("o", message[1], version))
@@ -109,7 +111,7 @@
                 self.scenario.discovery.crash_notice_ms / 1000.0, self.list_box, message[1], "terminated")
 
     def _ended(self, channel: Channel) -> None:
-        if not self._over and not self._failed.done():
+        if channel.name and not self._over and not self._failed.done():
             self._failed.set_exception(RunError(f"process {channel.name} of the emulator has ended; see its "
                                                 f"trace above"))
 
@@ -306,6 +308,9 @@
         scenario = self.scenario
         plain = msgspec.to_builtins(scenario)
         addresses = [r.listen for r in self.routers]
+        if scenario.traffic.direct:
+            places = [entry.address.rpartition(":") for entry in self._entries.values()]
+            addresses = [(host, int(port)) for host, _, port in places]
         await asyncio.gather(*(self.workers[("clients", n)].call("setup", plain, addresses)
                                for n in range(scenario.machine.load_processes)))
         for channel in self.workers.values():
--- a/starlingthread/emulator/scenario.py
+++ b/starlingthread/emulator/scenario.py
@@ -120,6 +120,7 @@
 
     rate: Positive = 600.0
     in_flight: Annotated[int, Meta(ge=0, le=4096)] = 0  # above 0: a closed loop that keeps so many out; no rate then
+    direct: bool = False  # clients ask the boxes themselves, to measure the emulator without a router
     warmup_s: NotNegative = 2.0
     keys: Count = 5000
     zipf: NotNegative = 1.0
--- a/starlingthread/emulator/worker.py
+++ b/starlingthread/emulator/worker.py
@@ -132,6 +132,11 @@
     def _warm(self) -> None:
         """Fill each box with a spread of the hottest keys, as after a day's work."""
         fleet, warm = self.scenario.fleet, list(self.boxes.values())
+        if self.scenario.traffic.direct:
+            for key in hottest_first(self.scenario)[:fleet.memory_keys]:
+                for box in warm:
+                    box.model.keep(key_name(key), 0)
+            return
         for rank, key in enumerate(hottest_first(self.scenario)[:fleet.memory_keys * len(warm) // 2]):
             warm[rank % len(warm)].model.keep(key_name(key), 0)
 
@@ -218,6 +223,7 @@
     loop = asyncio.get_running_loop()
     _, worker.channel = await loop.create_connection(
         lambda: Channel(worker.message, lambda _: worker.ended.set()), "127.0.0.1", port)
+    worker.channel.name = "coordinator"
     worker.channel.send("hello", role, number)
     gc.set_threshold(50000, 50, 1000)
     worker.watch_lag()
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -7,6 +7,8 @@
 import heapq
 import resource
 import signal
+import subprocess
+import sys
 from collections.abc import Callable
 from pathlib import Path
 
@@ -532,3 +534,10 @@
     assert done.exit_code == 1 and "log.format" in done.stderr and "xml" in done.stderr
     with pytest.raises(options.OptionsError, match="unknown field"):
         options.parse("[logs]\n", "own.toml")
+
+
+def test_a_router_imports_nothing_of_the_lab() -> None:
+    lab = "{'numpy', 'aiohttp', 'rich', 'uvloop', 'matplotlib', 'psutil', 'click', 'jinja2', 'hdrh'}"
+    code = f"import sys, starlingthread.__main__; print(sorted({lab} & set(sys.modules)))"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True, timeout=60)
+    assert done.stdout == "[]\n"
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -260,6 +260,20 @@
     talk(script)
 
 
+def test_a_connection_is_not_closed_while_bytes_lie_unread_in_its_socket() -> None:
+    async def script(now: Talk) -> None:
+        now.writer.other.send(b"mg a v O1 Pc=read,d=500")  # the system has them, the reader has not
+        now.actor.shut_when_idle()
+        await now.settle()
+        assert not now.writer.transport.gone
+        now.writer.mine.recv(100)
+        now.actor.mailbox.wake()
+        await now.settle()
+        assert now.writer.transport.gone
+
+    assert talk(script) == b""
+
+
 def test_a_request_that_crosses_our_close_is_answered_if_it_was_taken_off_the_socket() -> None:
     """Guards against a loss: nobody else can read that request any more, and its client would see a close."""
     async def script(now: Talk) -> None:
