--- a/starlingthread/emulator/records.py
+++ b/starlingthread/emulator/records.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-BUSY, RUN, REPEAT = "busy", "run", "repeat"  # what a box did with a command
+BUSY, RUN = "busy", "run"  # what a box did with a command
 OUT, ANSWERED, FAILED, TURNED_AWAY, CUT = "out", "answered", "failed", "turned-away", "cut"
 
 
--- a/starlingthread/load/report.py
+++ b/starlingthread/load/report.py
@@ -109,7 +109,7 @@
     axes.step([s.at for s in results.seconds], [max(s.refused + s.failed, 0.1) for s in results.seconds],
               where="post", label="refused and failed, a second")
     axes.set_xlabel("s")
-    axes.legend(loc="upper right", fontsize=8)
+    axes.legend(loc="lower right", fontsize=8)
     _mark(axes, results)
 
 
