Read the operator's file on SIGHUP whatever the platform's file is like; drop dead code

Cause, found on reading the change again: a platform's file that can't be used ended the reload before the operator's own file was read, so a change of the log's format waited for a file that has nothing to do with it.

Change: the operator's file is read first. Counters.text, a log processor that did nothing and three attributes of emulated boxes are gone: nothing used them.

--- a/starlingthread/__main__.py
+++ b/starlingthread/__main__.py
@@ -81,15 +81,16 @@
     def reload(self) -> None:
         """Read the configuration file anew. What can change while serving does; the rest waits for a restart.
 
-        Guards against the signal's own effect, which ends a program, and against a file that is no good.
+        Guards against the signal's own effect, which ends a program, and against a file that is no good. The
+        operator's file is read whatever the platform's is like.
         """
+        self._reload_options()
         try:
             new = read_config(self.config.path)
         except ConfigError as error:
             self.counters.note("reloads.failed")
             log.error("reload-failed", why=" ".join(str(error).split()))
             return
-        self._reload_options()
         self.counters.note("reloads.done")
         # Always asked anew: whatever discovery has to tell counts as told soon, wherever it is now.
         self.registry.move(new.discovery)
--- a/starlingthread/core/counters.py
+++ b/starlingthread/core/counters.py
@@ -11,7 +11,3 @@
     def note(self, name: str, by: int = 1) -> None:
         """Count something."""
         self[name] += by
-
-    def text(self) -> str:
-        """Return all counts in one line."""
-        return " ".join(f"{name}={self[name]}" for name in sorted(self))
--- a/starlingthread/emulator/boxes.py
+++ b/starlingthread/emulator/boxes.py
@@ -81,7 +81,6 @@
             self.dead = True
             self.transport.pause_reading()
         server.connections.add(self)
-        server.opened += 1
         self.idle_since = server.now()
         server.model.handshake()
 
@@ -217,8 +216,8 @@
         self.padding = b"x" * value_bytes
         self.connections: set[BoxConnection] = set()
         self.port = 0
-        self.opened = self.malformed = 0
-        self.is_silent = self.is_frozen = self.is_up = False
+        self.malformed = 0
+        self.is_silent = self.is_frozen = False
         self.reset_share = self.spoilt_share = self.half_share = 0.0
         self.held_in: list[tuple[BoxConnection, bytes, float]] = []
         self.held_out: list[tuple[BoxConnection, bytes]] = []
@@ -242,11 +241,9 @@
         listening.bind(("127.0.0.1", self.port))
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(lambda: BoxConnection(self), sock=listening, backlog=BACKLOG)
-        self.is_up = True
 
     def crash(self) -> None:
         """The process dies: connections are reset, new ones refused."""
-        self.is_up = False
         self._close_listener()
         self.thaw(drop=True)
         for connection in list(self.connections):
--- a/starlingthread/logs.py
+++ b/starlingthread/logs.py
@@ -52,19 +52,13 @@
     return f"{line}\n{trace}" if trace else line
 
 
-def _plain(logger: Any, method: str, event: Any) -> Any:
-    """Name the event of a line that came from elsewhere (asyncio): its text has blanks, and fields have none."""
-    event["event"] = str(event.get("event", ""))
-    return event
-
-
 def _formatter(how: str) -> logging.Formatter:
     render: Any = {"logfmt": _logfmt, "json": structlog.processors.JSONRenderer(default=str), "text": _text}[how]
     return structlog.stdlib.ProcessorFormatter(
         foreign_pre_chain=[
             structlog.stdlib.add_log_level, structlog.processors.TimeStamper(fmt="%Y-%m-%d %H:%M:%S.%f", utc=False)],
         processors=[structlog.stdlib.ProcessorFormatter.remove_processors_meta, structlog.processors.format_exc_info,
-                    _plain, render])
+                    render])
 
 
 class DroppingHandler(QueueHandler):
