Draw a cold server's share of keys by a hash of its own, with a budget that sums up

Cause: policy._warm_enough gave a cold server the keys with mix(key ^ salt) UNDER its share, but policy._homes draws a key's homes by the GREATEST of the same hash, so next to no home ever passed. The share is now drawn by a second hash. What held each router back before, one request a window, was also wrong in the sum: 40 routers could send 20 a second to each cold server. The budget is now this router's part of what the ramp bears, saved up over time from a random first saving (limits/ramp.py).

Ruled out: no home passes for want of budget (the gap of 2 s bound almost never); no server left out (back_until 0 to 0.1 servers a router); nothing refused because all homes were cold (0 to 20 a second).

In the test's fleet 20 restarted servers get 109 requests in 8 s, before 0.

--- /dev/null
+++ b/starlingthread/limits/ramp.py
@@ -0,0 +1,72 @@
+"""What one router may send to a server that has just started: a share of the keys, and a budget of requests.
+
+No router can see what the others send there, so the figures are such that the sum over all of them is right. The keys
+are the same at every router. The budget is the router's part of what the server's ramp can bear, also where that part
+is far less than one request in the time in which a server falls over: it is saved up, from a first saving drawn at
+random, so that routers that were told of a server in the same moment do not all send in that moment.
+"""
+
+from __future__ import annotations
+
+import math
+
+MARGIN = 0.5  # of what the ramp can bear; heavy requests and callers' retries need the rest
+BURST = 2.0  # a server may get this many times its share of what we send, for keys are not asked for evenly
+
+
+def ramp(now: float, started: float, cold_from: float, cold_time: float) -> float:
+    """Return the least share of its capacity that a server has by now; 1 once it is warm. Times in ms."""
+    age = now - started
+    if started <= 0 or age >= cold_time:
+        return 1.0
+    return cold_from + (1 - cold_from) * max(0.0, age) / cold_time
+
+
+class Pace:
+    """How many requests this router is asked, from a decaying count that knows how long it has counted."""
+
+    __slots__ = ("at", "began", "count", "half_life")
+
+    def __init__(self, half_life: float) -> None:
+        self.half_life, self.count, self.at, self.began = half_life, 0.0, 0.0, 0.0
+
+    def begin(self, now: float) -> None:
+        """Start to count."""
+        self.at = self.began = now
+
+    def note(self, now: float) -> None:
+        """Count one request."""
+        self.count, self.at = self.count * math.exp2((self.at - now) / self.half_life) + 1, now
+
+    def per_ms(self, now: float) -> float:
+        """Return the requests a ms; what is not seen yet is taken as none for the first ms only."""
+        seen = self.half_life / math.log(2) * (1 - math.exp2((self.began - now) / self.half_life))
+        return self.count * math.exp2((self.at - now) / self.half_life) / max(1.0, seen)
+
+
+def first_saving(chance: float, routers: int) -> float:
+    """Return what a router has saved up for a server that it just heard of, from a number in [0, 1) drawn at random.
+
+    One of all the routers may send at once, as a lone one may; the others come one by one.
+    """
+    return 1.0 if chance * routers < 1 else (chance * routers - 1) / max(1, routers - 1)
+
+
+class ColdBudget:
+    """The requests that this router may send to one cold server; counted in requests of mean cost."""
+
+    __slots__ = ("at", "saved")
+
+    def __init__(self, first: float) -> None:
+        self.saved = first  # in [0, 1), at random
+        self.at = math.inf  # when it was last added to
+
+    def allows(self, now: float, rate: float, window: float, cost: float) -> bool:
+        """Tell whether one of this cost may go now, at so many requests a ms, no more saved than in a window (ms)."""
+        self.saved = min(max(1.0, rate * window), self.saved + rate * max(0.0, now - self.at))
+        self.at = now
+        return self.saved >= min(cost, max(1.0, rate * window))
+
+    def spend(self, cost: float) -> None:
+        """Take in that one was sent. What is dearer than all that may be saved is paid off later."""
+        self.saved -= cost
--- a/starlingthread/policy.py
+++ b/starlingthread/policy.py
@@ -16,6 +16,8 @@
     PeerMessage, ProbeResult, Refuse, Request, RequestClass, Result, Send, ServerState, SetTimer, Settings,
     Timer, Watch, Withdrawn,
 )
+from .limits.origin import OriginGuard
+from .limits.ramp import BURST, MARGIN, ColdBudget, Pace, first_saving, ramp
 
 HALF_LIFE = 10000.0  # ms; a count halves in this time: about as long as a cache keeps what nobody asks for
 FLOOR = 0.1  # affinity of a server without a count; far under one count's log(N)
@@ -30,18 +32,13 @@
 LAG_LIFE = 1000.0  # ms; half-life of the waiting that an answer or a time-out showed us
 MAX_TURNED = 3  # servers that may fail a request before it is given up; more only adds to a crowd
 LAG_SHARE = 0.1  # weight of one attempt's waiting in the mean over all servers
-COLD_MARGIN = 0.5  # of what a cold server's ramp can bear; heavy requests and callers' retries need the rest
 LET_TRY = 0.1  # share of the hopeless sent all the same, to learn when a server has recovered
 NUDGE = 0.5  # how far one observed hit or miss moves the cached chance
 BACK_OFF = 250.0  # ms; pause after a server failed; doubles, up to 16 times this
 SPOILT = 3  # failures in a row, each sent after the one before was known, that show a server to be at fault
 FETCH_SHARE = 0.15  # of the aim: first guess of an origin fetch's time
-PRESSURE_LIFE = 7000.0  # ms; half-life of what we remember of the origin's answers
-ALARM = 0.25  # what one bad fetch adds to the pressure at once; a quick one takes a fifth off
 SURE = (0.3, 0.5)  # pressure at the origin from which on fetches by servers are spared, and from which on all
 LATE_FETCH = 0.5  # of the aim; a fetch by a server is slow only past this, as its queue is in that time too
-SLOW_FETCH = 4.0  # a fetch that took this many times the usual does not count as served
-PRESSURE_GAIN = 1.5  # the origin may be asked for this many times what it serves, not for more
 MAX_WAITS = 2  # times that a write waits for a full origin before it is given up
 ASK_BACK_OFF = 500.0  # ms; first pause after a failed call for the list, doubled each time, jittered
 MAX_ASK_DOUBLED = 2  # times that it is doubled: a drain counts as told before a pause of many seconds is over
@@ -65,11 +62,12 @@
 class Server:
     """What this balancer knows of one server."""
 
-    __slots__ = ("answered", "back_until", "failed_at", "fails", "lag", "lag_at", "line", "report",
-                 "report_at", "salt", "shut_at", "tally", "told_shut", "used_at")
+    __slots__ = ("answered", "back_until", "budget", "failed_at", "fails", "lag", "lag_at", "line", "report",
+                 "report_at", "salt", "shut_at", "tally", "told_shut")
 
-    def __init__(self, line: Member) -> None:
+    def __init__(self, line: Member, saved: float) -> None:
         self.line = line
+        self.budget = ColdBudget(saved)  # while it is cold
         self.told_shut = line.state != ServerState.READY
         self.tally = 0.0  # cost of our attempts that are out
         self.report, self.report_at = 0.0, -math.inf  # load in ms of waiting, and when it came
@@ -77,7 +75,6 @@
         self.fails, self.failed_at, self.back_until = 0, -math.inf, -math.inf
         self.answered = -math.inf  # when the last attempt was sent that it has answered
         self.shut_at = math.inf  # when we were told that it drains or is gone
-        self.used_at = -math.inf  # when we last sent to it
         self.salt = mix(line.server + 1)
 
 
@@ -116,41 +113,6 @@
         self.role = -1  # the last attempt went to an uncounted home: 0 of the fleet's, 1 of our zone's
 
 
-class OriginGuard:
-    """How hard the origin is pressed, learned from its answers alone: asked for against served in time."""
-
-    def __init__(self, first_guess: float) -> None:
-        self.usual = first_guess  # ms of a fetch when all is well
-        self.asked, self.served, self.alarm, self.at = 0.0, 0.0, 0.0, 0.0
-
-    def _age(self, now: float) -> None:
-        fade = math.exp2((self.at - now) / PRESSURE_LIFE)
-        self.asked, self.served, self.at = self.asked * fade, self.served * fade, now
-        self.alarm *= fade * fade
-
-    def now(self, now: float) -> float:
-        """Return the present pressure: 0 while most is served, near 1 when next to nothing is."""
-        self._age(now)
-        return max(self.alarm, (self.asked - PRESSURE_GAIN * self.served) / (self.asked + 1))
-
-    def turned_away(self, now: float) -> None:
-        """Count what we kept from the origin ourselves, that pressure lasts while the want does."""
-        self._age(now)
-        self.asked += 1
-
-    def observe(self, now: float, fine: bool, elapsed: float, enough: float = 0.0) -> None:
-        """Take in an answer, or the lack of one; what came within 'enough' ms is never too slow."""
-        self._age(now)
-        self.asked += 1
-        # A queue shows in the time before it fails.
-        quick = fine and elapsed < max(enough, SLOW_FETCH * self.usual)
-        self.served += quick
-        # Guards against a jam that a balancer with a fetch every other second would count too late.
-        self.alarm = self.alarm * 0.8 if quick else min(1.0, self.alarm + ALARM)
-        if fine:
-            self.usual += (elapsed - self.usual) * (0.02 if elapsed > self.usual else 0.1)
-
-
 class Balancer:
     """One balancer: events with the time go in, actions come out."""
 
@@ -176,7 +138,7 @@
         self.mean_work = self.work[0]
         self.least_worth = max(1e-6, min(c.worth for c in settings.classes))
         self.mean_report = self.mean_lag = 0.0
-        self.sent_per_ms, self.sent_at = 0.0, 0.0
+        self.pace = Pace(HALF_LIFE)
         self.guard = OriginGuard(min(c.aim for c in settings.classes) * FETCH_SHARE)
         self.keep_shut = 3 * max(c.deadline + c.memory_span for c in settings.classes)
         self.ask_fails, self.subscribed = 0, not settings.must_ask
@@ -184,6 +146,7 @@
 
     def start(self, now: float) -> list[Action]:
         """Begin: where the list must be asked for, do so at a random moment, that a fleet is no herd."""
+        self.pace.begin(now)
         if self.set.must_ask:
             self.todo.append(SetTimer(now + self.rng.uniform(0, self.set.ask_within * 0.3), ASK))
         return self._flush()
@@ -236,7 +199,8 @@
         for line in event.members:
             old = self.servers.get(line.server)
             if old is None or old.line.started != line.started:
-                self.servers[line.server] = fresh = Server(line)
+                saving = first_saving(self.rng.random(), self.set.balancers)
+                self.servers[line.server] = fresh = Server(line, saving)
                 fresh.tally = old.tally if old else 0.0
             else:
                 old.line, old.told_shut = line, line.state != ServerState.READY
@@ -388,6 +352,7 @@
     def _on_request(self, now: float, req: Request) -> None:
         if req.id in self.live or not 0 <= req.cls < len(self.set.classes):
             return
+        self.pace.note(now)
         cls = self.set.classes[req.cls]
         tracked = Tracked(req, cls, now, req.cost or self.work[req.cls])
         self.live[req.id] = tracked
@@ -460,9 +425,7 @@
         tracked.tries.append((server.line.server, now, cost))
         tracked.out += 1
         server.tally += cost
-        server.used_at = now
-        fade = math.exp2((self.sent_at - now) / HALF_LIFE)
-        self.sent_per_ms, self.sent_at = self.sent_per_ms * fade + math.log(2) / HALF_LIFE, now
+        server.budget.spend(self._heavy(tracked))
         if effect == Effect.KEYED and tracked.ran_at < 0:
             # It is out, so it may run.
             tracked.ran_at, tracked.ran_on, tracked.ran_by = now, server.line.server, len(tracked.tries) - 1
@@ -525,19 +488,22 @@
 
     def _warm_enough(self, now: float, server: Server, tracked: Tracked) -> bool:
         """A cold server takes the share of keys that its ramp can bear; all balancers agree on which."""
-        age = now - server.line.started
-        if server.line.started <= 0 or age >= self.set.cold_time:
+        share = ramp(now, server.line.started, self.set.cold_from, self.set.cold_time)
+        if share >= 1:
             return True
-        share = self.set.cold_from + (1 - self.set.cold_from) * max(0.0, age) / self.set.cold_time
+        share *= MARGIN
         key = tracked.req.key or tracked.req.id
-        share *= COLD_MARGIN
-        if mix(key ^ server.salt) >= share * MASK:
+        # Hashed once more: a key's homes are the servers with the greatest of its hashes, and of those none
+        # would be under a share.
+        if mix(mix(key ^ server.salt) ^ server.salt) >= share * MASK:
             return False
-        # Guards against retries and bursts that meet at a cold server: it gets from us no more than twice its
-        # share of what we send to a warm one, in any window in which it could fall over.
-        due = 2 * share * self.sent_per_ms * self.set.tip_after / max(1, len(self.ready))
-        heavy = max(1.0, tracked.cost / self.mean_work)
-        return now - server.used_at >= self.set.tip_after / max(1.0, due) * heavy
+        # Guards against retries, bursts and hot keys that meet at a cold server, in any window in which it
+        # could fall over.
+        rate = BURST * share * self.pace.per_ms(now) / max(1, len(self.ready))
+        return server.budget.allows(now, rate, self.set.tip_after, self._heavy(tracked))
+
+    def _heavy(self, tracked: Tracked) -> float:
+        return max(1.0, tracked.cost / self.mean_work)
 
     def _on_outcome(self, now: float, event: Outcome) -> None:
         tracked = self.live.get(event.id)
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,96 @@
+"""What many routers do together: each is harmless alone, so the harm, or the lack of use, shows in the sum only."""
+
+from __future__ import annotations
+
+from collections import Counter
+from itertools import accumulate
+from random import Random
+
+from starlingthread import Balancer
+from starlingthread.interface import (
+    Effect, ListKind, Member, MemberList, Note, Outcome, Request, RequestClass, Result, Send, Settings,
+)
+
+ROUTERS, SERVERS, KEYS = 40, 60, 3000
+POPULARITY = list(accumulate(1 / rank for rank in range(5, KEYS + 5)))
+WINDOW = 2000.0  # ms in which a cold server falls over
+SETTINGS = Settings(
+    classes=(RequestClass("read", Effect.REPEATABLE, aim=1200.0, deadline=4000.0),), balancers=ROUTERS,
+    max_attempts=4, drain_grace=400.0, cold_from=0.15, cold_time=22000.0, tip_after=WINDOW)
+
+
+class Fleet:
+    """Many routers under one clock, servers that answer in 50 ms, and clients with a skewed choice of keys."""
+
+    def __init__(self, settings: Settings = SETTINGS, seed: int = 1) -> None:
+        self.rng = Random(seed)
+        self.now, self.last_id = 1e6, 0
+        self.routers = [
+            Balancer(settings._replace(me=number, zone=number % 3), seed * 1000 + number) for number in range(ROUTERS)]
+        self.sends: list[tuple[float, int]] = []
+        self.refused = 0
+        self.out: list[tuple[float, Balancer, Outcome]] = []
+        for router in self.routers:
+            router.start(self.now)
+        self.list_to_all([Member(1000 + n * 7919, zone=n % 3) for n in range(SERVERS)])
+
+    def list_to_all(self, members: list[Member]) -> None:
+        self.members = members
+        for router in self.routers:
+            router.handle(self.now, MemberList(ListKind.FULL, 1, tuple(members)))
+
+    def restart(self, servers: list[int]) -> None:
+        """Let some servers start anew, now."""
+        self.list_to_all([m._replace(started=self.now) if m.server in servers else m for m in self.members])
+
+    def play(self, span: float, per_second: float = 900.0) -> None:
+        """Let clients ask for a while; their requests are spread over all routers."""
+        until = self.now + span
+        while True:
+            self.now += self.rng.expovariate(per_second / 1000.0)
+            while self.out and self.out[0][0] <= self.now:
+                at, router, outcome = self.out.pop(0)
+                router.handle(at, outcome)
+            if self.now >= until:
+                return
+            self.last_id += 1
+            key = self.rng.choices(range(1, KEYS + 1), cum_weights=POPULARITY)[0]
+            router = self.rng.choice(self.routers)
+            key = key * 0x9E3779B97F4A7C15 % 2**64
+            actions = router.handle(self.now, Request(self.last_id, 0, 4000.0, key=key))
+            sent = [a for a in actions if isinstance(a, Send)]
+            self.refused += not sent
+            for send in sent:
+                self.sends.append((self.now, send.server))
+                self.out.append((self.now + 50.0, router, Outcome(
+                    send.id, 0, send.server, Result.OK, 50.0, True, Note.HIT)))
+
+
+def test_cold_servers_get_what_their_ramp_bears_from_all_routers_together() -> None:
+    """Their share of keys was drawn by the same hash as the homes, whose hashes are the greatest: none passed."""
+    fleet = Fleet()
+    fleet.play(5000.0)
+    cold = [m.server for m in fleet.members[:SERVERS // 3]]
+    fleet.restart(cold)
+    began = fleet.now
+    fleet.play(8000.0)
+    to_cold = [(at, server) for at, server in fleet.sends if at >= began and server in cold]
+    # The ramp lets them do 0.15 to 0.46 of their work, 0.3 on average. Half of that is the margin, and what is
+    # counted elsewhere stays there.
+    usual = len([s for s in fleet.sends if s[0] >= began]) / SERVERS * len(cold)
+    assert 0.3 / 2 * usual / 5 < len(to_cold) < 0.3 * usual
+    assert len({server for _, server in to_cold}) == len(cold)
+
+
+def test_routers_told_of_a_cold_server_at_once_do_not_all_send_at_once() -> None:
+    """Each allowed itself one request a window, which is many for the fleet: a hot key is asked for everywhere."""
+    fleet = Fleet()
+    fleet.play(5000.0)
+    cold = [m.server for m in fleet.members]
+    fleet.restart(cold)
+    began = fleet.now
+    fleet.play(6000.0, per_second=1800.0)
+    windows = Counter((int((at - began) / WINDOW), server) for at, server in fleet.sends if at >= began)
+    fair = 1800.0 * WINDOW / 1000.0 / SERVERS
+    # A server with a load of 0.6 while warm falls when it gets over 4 x 0.15 of that, or 1.0 of it.
+    assert max(count for (window, _), count in windows.items() if window == 0) < 1.0 * fair
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -145,7 +145,7 @@
     def share(age: float) -> float:
         taken = 0
         for key in range(1, 201):
-            world = World(ASIDE, (Member(1, started=1000.0), Member(ORIGIN, kind=3)))
+            world = World(ASIDE._replace(balancers=1), (Member(1, started=1000.0), Member(ORIGIN, kind=3)))
             world.now = 1000.0 + age
             taken += only_send(world.ask(key)).server == 1
         return taken / 200
@@ -155,7 +155,7 @@
 
 
 def test_a_cold_server_gets_few_requests_in_a_window_from_one_balancer() -> None:
-    world = World(ASIDE, (Member(1, started=1000.0), Member(ORIGIN, kind=3)))
+    world = World(ASIDE._replace(balancers=1), (Member(1, started=1000.0), Member(ORIGIN, kind=3)))
     world.now += 7000.0
     key = next(k for k in range(1, 50) if only_send(world.ask(k)).server == 1)
     assert [only_send(world.ask(key)).server for _ in range(10)] == [ORIGIN] * 10
