Learn what a client's hint is worth, and pass it on from the network

Cause: the module set the hint (work on a machine of speed 1) beside learned elapsed times (policy._on_request: 'req.cost or self.work[..]'), and learned no time of a class whose requests carry one (_learn: 'not req.cost'). The network code dropped h (clients._take). Ruled out: the hint as exact - its noise is as large as its spread, and taken as time it makes servers of speed 1.5 to 2.1 look full. Change: limits/work.py learns the slope of log(time) over log(hint) by decayed least squares; unit-free, clipped to what was seen. The first site has no hints and goes the old way.

--- a/starlingthread/core/router.py
+++ b/starlingthread/core/router.py
@@ -66,6 +66,7 @@
     payload: object  # in the dialect's own form
     came_at: float  # clock time at which it was whole
     size: float = 0.0
+    hint: float = 0.0  # the client's guess at the work, in whatever unit; 0: none
     is_retry: bool = False
     is_write: bool = False
     id: int = 0
@@ -302,7 +303,7 @@
         request.guard = self.deadlines.set(request.ends + OVERDUE, lambda: self._overdue(request))
         self._handle(api.Request(
             request.id, self._numbers[request.cls.name], min(request.ends - now, request.cls.deadline),
-            request.key, size=request.size, single=request.body is not None,
+            request.key, cost=request.hint, size=request.size, single=request.body is not None,
             is_retry=request.is_retry, is_write=request.is_write,
             waited=now - request.came_at if self.full else 0.0), now)
 
--- a/starlingthread/interface.py
+++ b/starlingthread/interface.py
@@ -170,7 +170,7 @@
     budget: float
     key: int = 0
     tenant: int = 0
-    cost: float = 0.0  # expected work; 0: no hint
+    cost: float = 0.0  # a guess at the work, in a unit that is not told; 0: no hint
     size: float = 0.0
     is_retry: bool = False
     is_write: bool = False
--- a/starlingthread/limits/speed.py
+++ b/starlingthread/limits/speed.py
@@ -27,7 +27,7 @@
         self._seen[kind] = self._seen.get(kind, 0) + 1
         time = self._time.get(kind, 0.0)
         # The mean of logarithms: times have long tails, which the few answers of one router would not even out.
-        self._time[kind] = time + (math.log(max(elapsed, 0.1)) - time) * max(GAIN, 1.0 / self._seen[kind])
+        self._time[kind] = time + (math.log(max(elapsed, 1e-3)) - time) * max(GAIN, 1.0 / self._seen[kind])
         known = {k: t for k, t in self._time.items() if self._seen[k] >= ENOUGH}
         least = min(known.values(), default=0.0)
         speeds = {k: math.exp(least - t) for k, t in known.items()}
--- a/starlingthread/net/clients.py
+++ b/starlingthread/net/clients.py
@@ -52,6 +52,12 @@
         return socket.create_server((host, port), backlog=BACKLOG)
 
 
+def _figure(fields: dict[str, str], name: str) -> float:
+    """Return a figure that a client gave; 0 if it gave none, or what is none."""
+    text = fields.get(name, "")
+    return float(text) if meta.NUMBER.fullmatch(text) else 0.0
+
+
 class Slot:
     """The place of one answer in the order of a connection."""
 
@@ -191,13 +197,12 @@
                 self._malformed(slot, meta.bad("id in use"))
                 return
             front.open_ids.add(item.id)
-            size = item.fields.get("size", "")
             wait = min(item.wait, cls.deadline)  # nobody waits longer than the class lets them
             body = Pipe(front.room) if item.in_pieces else None
             wait = wait if body is None else BODY
             request = Taken(
                 self, cls, key_number(item.key), self.used_at + wait - ANSWER_EARLY, item, self.used_at, body=body,
-                size=float(size) if meta.NUMBER.fullmatch(size) else 0.0,
+                size=_figure(item.fields, "size"), hint=_figure(item.fields, "h"),
                 is_retry=item.fields.get("r") == "1", is_write=item.is_write)
             slot.request = request
             self.by_request[request] = slot
--- a/starlingthread/policy.py
+++ b/starlingthread/policy.py
@@ -19,6 +19,7 @@
 from .limits.origin import OriginGuard
 from .limits.ramp import BURST, MARGIN, ColdBudget, Pace, first_saving, ramp
 from .limits.speed import Speeds
+from .limits.work import Work
 
 HALF_LIFE = 10000.0  # ms; a count halves in this time: about as long as a cache keeps what nobody asks for
 FLOOR = 0.1  # affinity of a server without a count; far under one count's log(N)
@@ -132,9 +133,9 @@
         self.look_at = math.inf  # when the next of these looks is due
         self.seconds = 0.0  # second copies that may be sent now
         self.excluded: set[int] = set()  # servers that operators leave out
-        self.work: dict[str, float] = {}  # ms; learned cost of each class
+        self.work: dict[str, Work] = {}  # learned times of each class
         self._tune(settings)
-        self.mean_work = self.work[settings.classes[0].name]
+        self.mean_work = self.work[settings.classes[0].name].typical
         self.mean_report = self.mean_lag = 0.0
         self.pace = Pace(HALF_LIFE)
         self.speeds = Speeds()
@@ -146,7 +147,7 @@
         """Take in settings, the first or new ones; what was learned of a class stays with its name."""
         self.set, fields, classes = settings.validated(), settings.report_fields, settings.classes
         self.at_field = {name: fields.index(name) for name in ("inflight", "queue", "util") if name in fields}
-        self.work = {c.name: self.work.get(c.name, c.aim * 0.1) for c in classes}
+        self.work = {c.name: self.work.get(c.name) or Work(c.aim * 0.1) for c in classes}
         self.least_worth = max(1e-6, min(c.worth for c in classes))
         self.keep_shut = 3 * max(c.deadline + c.memory_span for c in classes)
 
@@ -386,7 +387,7 @@
             return
         self.pace.note(now)
         cls = self.set.classes[req.cls]
-        tracked = Tracked(req, cls, now, req.cost or self.work[cls.name])
+        tracked = Tracked(req, cls, now, self.work[cls.name].expected(req.cost))
         self.live[req.id] = tracked
         if len(self.live) >= self.set.max_open or self._is_beyond_us(now, tracked):
             self._give_up(now, tracked)
@@ -590,13 +591,11 @@
             if result not in (Result.CANCELLED, Result.MOOT):
                 self.guard.observe(now, result == Result.OK, event.elapsed)
             return
-        work = self.work.get(tracked.cls.name, tracked.cost)
-        if result == Result.OK and event.note == Note.HIT and self.speeds.observe(
-                server.line.kind, event.elapsed * self.work[self.set.classes[0].name] / max(1.0, work)):
-            self.list_count += 1  # homes are drawn anew
-        if result == Result.OK and not tracked.req.cost and tracked.cls.name in self.work:
-            # Leans to quick answers: waiting is not work.
-            self.work[tracked.cls.name] += (event.elapsed - work) * (0.03 if event.elapsed > work else 0.1)
+        if result == Result.OK and (work := self.work.get(tracked.cls.name)):
+            # Homes are drawn anew when a kind's speed has changed.
+            self.list_count += event.note == Note.HIT and self.speeds.observe(
+                server.line.kind, event.elapsed / work.expected(tracked.req.cost))
+            work.observe(tracked.req.cost, event.elapsed)
         if result == Result.OK:
             self.mean_work += (tracked.cost - self.mean_work) * 0.05
         failed = failed and at_origin  # nothing was stored there of what we counted
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -234,9 +234,9 @@
 
 def test_what_was_learned_of_a_class_that_stays_is_kept() -> None:
     world = World(THROUGH)
-    world.balancer.work["unsafe"] = 77.0
+    world.balancer.work["unsafe"].typical = 77.0
     world.do(Retuned(FEWER))
-    assert world.balancer.work == {"unsafe": 77.0, "read-2": 50.0}
+    assert {name: work.typical for name, work in world.balancer.work.items()} == {"unsafe": 77.0, "read-2": 50.0}
 
 
 def test_a_class_that_vanished_is_an_error_and_a_new_one_is_served() -> None:
--- a/tests/world.py
+++ b/tests/world.py
@@ -4,7 +4,7 @@
 
 from starlingthread import Balancer
 from starlingthread.interface import (
-    Action, Effect, Event, Fail, ListKind, Member, MemberList, Outcome, Refuse, Request, RequestClass, Result,
+    Action, Effect, Event, Fail, ListKind, Member, MemberList, Note, Outcome, Refuse, Request, RequestClass, Result,
     Send, SetTimer, Settings, Timer,
 )
 
@@ -70,6 +70,10 @@
         ended = seen.over or result == Result.OK
         return self.do(Outcome(send.id, attempt, send.server, result, elapsed, ended, report=report))
 
+    def finish(self, send: Send, elapsed: float) -> None:
+        """Let an attempt be served as a hit in so many ms."""
+        self.do(Outcome(send.id, 0, send.server, Result.OK, elapsed, True, Note.HIT))
+
     def read(self, key: int = 7) -> int:
         """Let a read be asked for and served; return the server."""
         send = only_send(self.ask(key))
