Reckon a cold server's budget from what is served, not from what is asked

Cause: policy._warm_enough took this router's share of what clients ask (Pace.note in _on_request). The saving of a whole window beside the flow of another allowed twice the rate in one window. Ruled out: retries of the router itself (the budget counts each send), and cost (mean costs agree within a tenth). Change: limits/ramp.cold_rate: a server's part of what we are served, by ramp and kind over all servers, times half of the settings' multiple; half a window may be saved up. The least is one a window by all routers, for a fleet all cold.

--- a/starlingthread/limits/ramp.py
+++ b/starlingthread/limits/ramp.py
@@ -10,8 +10,12 @@
 
 import math
 
+from ..interface import Settings
+
 MARGIN = 1.0  # of what the ramp can bear at the least: the figures told are the lowest share and the longest time
-BURST = 2.0  # a server may get this many times its share of what we send, for keys are not asked for evenly
+BURST = 0.5  # of the multiple at which a server falls over: this many times its part, as keys are not asked for evenly
+SAVED = 0.5  # of a window's part may be saved up, so that no window gets more than 0.75 of that multiple
+WARM_LIFE = 100.0  # ms for which the sum over all servers is good
 
 
 def ramp(now: float, started: float, cold_from: float, cold_time: float) -> float:
@@ -22,8 +26,20 @@
     return cold_from + (1 - cold_from) * max(0.0, age) / cold_time
 
 
+def cold_rate(part: float, served: float, warm: float, rules: Settings) -> float:
+    """Return how many requests a ms this router may send to a cold server.
+
+    part: what the server can do now, and warm: what all can do, both in warm servers of the quickest kind; served:
+    what this router is served, in requests a ms. What it is *asked* tells nothing of what servers can do: clients
+    that are refused ask again, and so the budget grew just when all were full. The least is one request a window by
+    all routers together, as nobody is served where all servers are cold.
+    """
+    least = 1.0 / (rules.tip_after * rules.balancers) if rules.tip_after > 0 else 0.0
+    return max(least, BURST * rules.overload_factor * part * served / max(warm, part, 1e-9))
+
+
 class Pace:
-    """How many requests this router is asked, from a decaying count that knows how long it has counted."""
+    """How many requests this router is served, from a decaying count that knows how long it has counted."""
 
     __slots__ = ("at", "began", "count", "half_life")
 
@@ -63,9 +79,9 @@
 
     def allows(self, now: float, rate: float, window: float, cost: float) -> bool:
         """Tell whether one of this cost may go now, at so many requests a ms, no more saved than in a window (ms)."""
-        self.saved = min(max(1.0, rate * window), self.saved + rate * max(0.0, now - self.at))
+        self.saved = min(max(1.0, SAVED * rate * window), self.saved + rate * max(0.0, now - self.at))
         self.at = now
-        return self.saved >= min(cost, max(1.0, rate * window))
+        return self.saved >= min(cost, max(1.0, SAVED * rate * window))
 
     def spend(self, cost: float) -> None:
         """Take in that one was sent. What is dearer than all that may be saved is paid off later."""
--- a/starlingthread/policy.py
+++ b/starlingthread/policy.py
@@ -16,8 +16,9 @@
     Outcome, PeerMessage, ProbeResult, Refuse, Request, RequestClass, Result, Retuned, Send, ServerState,
     SetTimer, Settings, Timer, Watch, Withdrawn,
 )
+from .limits.core import OwnCore
 from .limits.origin import OriginGuard
-from .limits.ramp import BURST, MARGIN, ColdBudget, Pace, first_saving, ramp
+from .limits.ramp import MARGIN, WARM_LIFE, ColdBudget, Pace, cold_rate, first_saving, ramp
 from .limits.speed import Speeds
 from .limits.work import Work
 
@@ -47,8 +48,6 @@
 SECONDS = (0.03, 6.0)  # second copies for each request that is sent, and how many may be saved up
 COME_BACK = 0.2  # of the aim; mean of the pause that a refused client is asked for: a retry can still earn
 EARLY = 5.0  # ms; a held request is answered this long before its client gives up
-OWN_LATE = 15.0  # ms that a request may lie before we look at it; past that we have more than we can do
-SHED = (100.0, 0.03, 0.02, 0.8)  # ms between steps; what the share shed grows by, shrinks by, and its most
 MASK = (1 << 64) - 1
 ASK, LOOK = 0, 1 << 60  # timer labels; the others are 1 + the id of a held request
 
@@ -129,7 +128,7 @@
         self.live: dict[int, Tracked] = {}
         self.held: dict[int, Tracked] = {}
         self.slow: list[tuple[float, int]] = []  # a heap: when to look if a request is still out, and its id
-        self.own_lag, self.shed, self.shed_at = 0.0, 0.0, -math.inf  # ms; share of requests; its last step
+        self.own = OwnCore()
         self.look_at = math.inf  # when the next of these looks is due
         self.seconds = 0.0  # second copies that may be sent now
         self.excluded: set[int] = set()  # servers that operators leave out
@@ -137,7 +136,8 @@
         self._tune(settings)
         self.mean_work = self.work[settings.classes[0].name].typical
         self.mean_report = self.mean_lag = 0.0
-        self.pace = Pace(HALF_LIFE)
+        self.pace = Pace(HALF_LIFE)  # of what is served
+        self.warm, self.warm_at = 0.0, -math.inf  # what all can do now, in quick warm servers
         self.speeds = Speeds()
         self.guard = OriginGuard(min(c.aim for c in settings.classes) * FETCH_SHARE)
         self.ask_fails, self.subscribed = 0, not settings.must_ask
@@ -226,7 +226,7 @@
 
     def _sort_out(self) -> None:
         self.ready, self.origin = [], None
-        self.list_count += 1
+        self.list_count, self.warm_at = self.list_count + 1, -math.inf
         for server in self.servers.values():
             if self.set.mode == "aside" and server.line.kind == self.set.origin_kind:
                 self.origin = server if not server.told_shut else self.origin
@@ -385,7 +385,6 @@
     def _on_request(self, now: float, req: Request) -> None:
         if req.id in self.live or not 0 <= req.cls < len(self.set.classes):
             return
-        self.pace.note(now)
         cls = self.set.classes[req.cls]
         tracked = Tracked(req, cls, now, self.work[cls.name].expected(req.cost))
         self.live[req.id] = tracked
@@ -395,17 +394,9 @@
             self._route(now, tracked)
 
     def _is_beyond_us(self, now: float, tracked: Tracked) -> bool:
-        """Tell whether this request is one of those that our own core is too small for.
-
-        Guards against a day on which all wait for us: what we can't do is refused at once and cheaply,
-        worth least first, so that the rest is in time; nor is our own lateness then taken for the servers'.
-        """
-        every, up, down, most = SHED
-        self.own_lag += (tracked.req.waited - self.own_lag) * 0.05
-        if now - self.shed_at >= every:
-            late = self.own_lag > OWN_LATE
-            self.shed_at, self.shed = now, min(most, self.shed + up) if late else max(0.0, self.shed - down)
-        return self.shed > 0 and self.rng.random() < self.shed ** (tracked.cls.worth / self.least_worth)
+        """Tell whether this request is one of those that our own core is too small for; worth least first."""
+        shed = self.own.shed_share(now, tracked.req.waited)
+        return shed > 0 and self.rng.random() < shed ** (tracked.cls.worth / self.least_worth)
 
     def _hopeless(self, now: float, tracked: Tracked, server: Server) -> bool:
         """Tell whether an answer would come too late to earn anything (guards against queues of those)."""
@@ -503,7 +494,7 @@
             if sent_at > first.answered:  # nothing sent later was answered: it is not the connection alone
                 first.lag, first.lag_at = max(self._lag(now, first), now - sent_at), now
                 self._suspect(now, first, Result.TIMEOUT, sent_at)
-            if self.seconds < 1 or self.shed or self.mean_lag > 0.4 * tracked.cls.aim:
+            if self.seconds < 1 or self.own.shed or self.mean_lag > 0.4 * tracked.cls.aim:
                 continue
             tracked.bad.append(number)
             key = tracked.req.key
@@ -534,7 +525,11 @@
             return False
         # Guards against retries, bursts and hot keys that meet at a cold server, in any window in which it
         # could fall over.
-        rate = BURST * share * self.pace.per_ms(now) / max(1, len(self.ready))
+        if now - self.warm_at > WARM_LIFE:
+            self.warm_at, self.warm = now, sum(
+                self.speeds.of(s.line.kind) * ramp(now, s.since, self.set.cold_from, self.set.cold_time)
+                for s in self.ready)
+        rate = cold_rate(share * self.speeds.of(server.line.kind), self.pace.per_ms(now), self.warm, self.set)
         return server.budget.allows(now, rate, self.set.tip_after, self._heavy(tracked))
 
     def _heavy(self, tracked: Tracked) -> float:
@@ -597,6 +592,7 @@
                 server.line.kind, event.elapsed / work.expected(tracked.req.cost))
             work.observe(tracked.req.cost, event.elapsed)
         if result == Result.OK:
+            self.pace.note(now)
             self.mean_work += (tracked.cost - self.mean_work) * 0.05
         failed = failed and at_origin  # nothing was stored there of what we counted
         if tracked.req.key and (failed or result in (Result.OK, Result.MISS)):
--- /dev/null
+++ b/tests/yard.py
@@ -0,0 +1,167 @@
+"""A yard of boxes under one clock: several instances of the module, boxes of some cores, clients that ask again."""
+
+from __future__ import annotations
+
+from heapq import heappop, heappush
+from itertools import accumulate, count
+from random import Random
+from typing import NamedTuple
+
+from starlingthread import Balancer
+from starlingthread.interface import (
+    Action, Effect, ListKind, Member, MemberList, Note, Outcome, Refuse, Request, RequestClass, Result, Send,
+    Settings, SetTimer, Timer,
+)
+
+READ = RequestClass("read", Effect.REPEATABLE, aim=1000.0, deadline=2000.0)
+SETTINGS = Settings(
+    classes=(READ,), balancers=3, max_attempts=5, second_copies=True, max_retry_after=800.0, drain_grace=2500.0,
+    cold_from=0.13, cold_time=23000.0, overload_factor=3.0, tip_after=1000.0)
+HOP = 1.0  # ms to a box that turns a request away, and back
+
+
+class Box:
+    """Cores that work side by side, a short queue, and 'full' beyond it. A cold one is slower."""
+
+    def __init__(self, cores: int, work: float, queue: int) -> None:
+        self.cores, self.work, self.queue = cores, work, queue
+        self.slow, self.started = 1.0, 0.0
+        self.free = [0.0] * cores  # when each core has done what it has
+        self.hold = 0
+        self.sent: list[tuple[float, float]] = []  # when, and the work in ms of a core
+
+    def share(self, now: float) -> float:
+        age = max(0.0, now - self.started)
+        return 1.0 if not self.started or age > SETTINGS.cold_time else (
+            SETTINGS.cold_from + (1 - SETTINGS.cold_from) * age / SETTINGS.cold_time)
+
+    def take(self, now: float, size: float) -> float | None:
+        """Take a request in; return when it is answered, or None if it is turned away."""
+        self.sent.append((now, self.work * size))
+        if self.hold >= self.cores + self.queue:
+            return None
+        at = max(now, min(self.free))
+        done = at + self.work * size * self.slow / self.share(now)
+        self.free[self.free.index(min(self.free))] = done
+        self.hold += 1
+        return done
+
+    def pushed(self, window: float) -> float:
+        """Return the greatest multiple of what it could do while cold that came within a window."""
+        most, within, last = 0.0, 0.0, 0
+        for number, (at, work) in enumerate(self.sent):
+            within += work
+            while self.sent[last][0] <= at - window:
+                within -= self.sent[last][1]
+                last += 1
+            if self.started and self.sent[last][0] >= self.started and self.share(at) < 1 and number >= last:
+                most = max(most, within / (window * self.cores * self.share(at - window / 2)))
+        return most
+
+
+class Asked(NamedTuple):
+    """What a client wants, over its tries."""
+
+    began: float
+    key: int
+    size: float
+    tries: int
+
+
+class Yard:
+    """Clients ask; whoever is refused, or has waited for 1.3 s, asks again twice at most."""
+
+    def __init__(self, boxes: list[Box], settings: Settings = SETTINGS, seed: int = 1, kinds: int = 1) -> None:
+        self.boxes, self.rng, self.now, self.ids = dict(enumerate(boxes, 1)), Random(seed), 1e6, count(1)
+        self.routers = [Balancer(settings._replace(me=n), seed * 100 + n) for n in range(settings.balancers)]
+        self.members = [Member(n, kind=n % kinds) for n in self.boxes]
+        self.due: list[tuple[float, int, object]] = []
+        self.asked: dict[int, Asked] = {}
+        self.open: set[int] = set()
+        self.ends: list[tuple[float, str]] = []
+        self.popular = list(accumulate(1 / (5 + rank) for rank in range(400)))
+        self.turned = 0
+        for router in self.routers:
+            self._carry_out(router, router.start(self.now))
+        self.tell()
+
+    def tell(self) -> None:
+        for router in self.routers:
+            self._carry_out(router, router.handle(self.now, MemberList(ListKind.FULL, 1, tuple(self.members))))
+
+    def restart(self, number: int) -> None:
+        """Let a box start anew, cold; all are told at once."""
+        self.boxes[number].started = self.now
+        self.members = [m._replace(started=self.now) if m.server == number else m for m in self.members]
+        self.tell()
+
+    def _later(self, at: float, what: object) -> None:
+        heappush(self.due, (at, next(self.ids), what))
+
+    def _ask(self, asked: Asked) -> None:
+        number, router = next(self.ids), self.rng.choice(self.routers)
+        self.asked[number] = asked
+        self.open.add(number)
+        self._carry_out(router, router.handle(self.now, Request(
+            number, 0, 1300.0, key=asked.key * 0x9E3779B97F4A7C15 % 2**64, cost=asked.size)))
+
+    def _carry_out(self, router: Balancer, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                attempt = len(router.live[action.id].tries) - 1
+                box = self.boxes[action.server]
+                done = box.take(self.now, self.asked[action.id].size)
+                self.turned += done is None
+                late = done is not None and done - self.now > 1300.0
+                if done is None or late:
+                    result, at = (Result.TIMEOUT, self.now + 1300.0) if late else (Result.FULL, self.now + HOP)
+                else:
+                    result, at = Result.OK, done + HOP
+                if done is not None:
+                    self._later(done, box)
+                self._later(at, (router, action, attempt, result, self.now))
+            elif isinstance(action, Refuse):
+                self._over(action.id, "refused", action.retry_after)
+            elif isinstance(action, SetTimer):
+                self._later(action.at, (router, action.label))
+
+    def _over(self, number: int, how: str, pause: float = 0.0) -> None:
+        if number not in self.open:
+            return
+        self.open.remove(number)
+        asked = self.asked[number]
+        if how != "served" and asked.tries < 2 and self.now + pause - asked.began < READ.deadline:
+            self._later(self.now + max(pause, 84.0), asked._replace(tries=asked.tries + 1))
+        elif how == "served" and self.now - asked.began > READ.aim:
+            self.ends.append((self.now, "late"))
+        else:
+            self.ends.append((self.now, how))
+
+    def play(self, span: float, per_second: float) -> dict[str, int]:
+        """Let clients ask for a while (ms); return how requests ended in it."""
+        until, first = self.now + span, len(self.ends)
+        at = self.now
+        while (at := at + self.rng.expovariate(per_second / 1000.0)) < until:
+            key = self.rng.choices(range(1, 401), cum_weights=self.popular)[0]
+            self._later(at, Asked(at, key, self.rng.lognormvariate(-0.3, 0.8), 0))
+        while self.due and self.due[0][0] < until:
+            self.now, _, what = heappop(self.due)
+            if isinstance(what, Asked):
+                self._ask(what)
+            elif isinstance(what, Box):
+                what.hold -= 1
+            elif isinstance(what, tuple) and len(what) == 2:
+                self._carry_out(what[0], what[0].handle(self.now, Timer(what[1])))
+            elif isinstance(what, tuple):
+                self._answer(*what)
+        self.now = until
+        ends = [how for _, how in self.ends[first:]]
+        return {how: ends.count(how) for how in ("served", "late", "refused")}
+
+    def _answer(self, router: Balancer, send: Send, attempt: int, result: Result, sent_at: float) -> None:
+        served = result == Result.OK
+        ended = served or result == Result.TIMEOUT or send.id not in self.open
+        if ended:
+            self._over(send.id, "served" if served else "late")
+        self._carry_out(router, router.handle(self.now, Outcome(
+            send.id, attempt, send.server, result, self.now - sent_at, ended, Note.HIT if served else Note.NONE)))
