Learn how many requests a server and the origin bear at once, from answers and refusals

Cause (counted by second with a probe of the module, docs/design/second-deployment.md): FULL taught nothing (policy._go_on only marked the server bad for this request), CORES = 2 was reckoned for boxes of six and seven (_choose: tally / CORES), and OriginGuard.spared kept refusing 40 to 65 % of what was asked while fetches took 0.3 s, since it opens by the clock. Copies: six homes a key hit 66 to 76 % where one cache would hit 84 to 96 %. Change: limits/concurrency.py, a limit that tracks the share of late answers and FULL; limits/fetches.py, the same for what is out at the origin, by each request's chance of being a fetch; limits/copies.py wired to the share refused; limits/learn.py, limits/trust.py split from the class. None limits anything until something bad was seen.

--- a/starlingthread/limits/copies.py
+++ b/starlingthread/limits/copies.py
@@ -2,17 +2,17 @@
 
 A key that is kept at several boxes is fetched several times, so under overload the copies themselves jam the origin,
 what is refused for that is cached nowhere, and the fetches never end: a feedback loop that holds after its cause has
-gone (docs/design/copies.md). So the number of copies follows the origin's pressure. It moves key by key, in an order
-that is the same at every router, so that two routers whose pressures differ a little disagree on few keys.
+gone (docs/design/copies.md). So the number of copies follows what the origin can't take. It moves key by
+key, in an order that is the same at every router, so that two routers whose shares differ a little disagree on few.
 """
 
 from __future__ import annotations
 
 import math
 
-HIGH, LOW = 0.3, 0.05  # pressure above which copies are given up, and below which they come back
-DOWN = 200.0  # ms in which all keys give up one tier of copies
-UP = 60000.0  # ms in which they get it back: slower, as each copy that comes back is a fetch
+HIGH, LOW = 0.1, 0.02  # share of fetches refused above which copies are given up, and below which they come back
+DOWN = 1000.0  # ms in which all keys give up one tier of copies
+UP = 20000.0  # ms in which they get it back: slower, as each copy that comes back is a fetch
 TIERS = 2.0  # first the copies inside the zone, then those beyond the first home
 
 
@@ -25,7 +25,7 @@
         self.level, self.at = 0.0, math.inf
 
     def observe(self, now: float, pressure: float) -> None:
-        """Take in the origin's pressure (0 to 1) at a time in ms; times that go back count for nothing."""
+        """Take in the share of fetches refused lately at a time in ms; times that go back count for nothing."""
         passed, self.at = max(0.0, now - self.at), now
         if pressure > HIGH:
             self.level = min(TIERS, self.level + passed / DOWN)
--- /dev/null
+++ b/starlingthread/limits/learn.py
@@ -0,0 +1,28 @@
+"""What one outcome says of how many may be out: at the server that gave it, or at the origin behind it."""
+
+from __future__ import annotations
+
+from ..interface import Note, Outcome, Result
+from .concurrency import Concurrency
+from .fetches import Fetches
+
+LATE = 0.5  # of the aim; who waits longer at a server than this leaves no time to make up for it elsewhere
+
+
+def learn_limits(
+        server: Concurrency, fetches: Fetches, event: Outcome, out: int, fetch: float, cost: float, aim: float) -> None:
+    """Take in an outcome of an attempt.
+
+    out: its number among those out at the server; fetch: the chance, as it was seen, that it had to be fetched;
+    cost: the time that it was expected to take there, and aim: that of its class, in ms.
+    """
+    result = event.result
+    if result == Result.FULL:
+        server.full(out)
+    elif result == Result.ERROR or event.note == Note.MISS or (result == Result.TIMEOUT and fetch > 0.5):
+        fetches.fetched(result == Result.OK, event.elapsed, aim)
+    elif result in (Result.TIMEOUT, Result.CONNECT_FAILED) or (
+            result == Result.OK and event.elapsed > max(cost, LATE * aim)):
+        server.bad(out)
+    elif result == Result.OK:
+        server.good(out)
--- a/starlingthread/policy.py
+++ b/starlingthread/policy.py
@@ -16,10 +16,14 @@
     Outcome, PeerMessage, ProbeResult, Refuse, Request, RequestClass, Result, Retuned, Send, ServerState,
     SetTimer, Settings, Timer, Watch, Withdrawn,
 )
+from .limits.concurrency import Concurrency
 from .limits.core import OwnCore
+from .limits.fetches import Fetches
+from .limits.learn import learn_limits
 from .limits.origin import OriginGuard
 from .limits.ramp import MARGIN, WARM_LIFE, ColdBudget, Pace, cold_rate, first_saving, ramp
 from .limits.speed import Speeds
+from .limits.trust import Trust
 from .limits.work import Work
 
 HALF_LIFE = 10000.0  # ms; a count halves in this time: about as long as a cache keeps what nobody asks for
@@ -37,10 +41,8 @@
 LAG_SHARE = 0.1  # weight of one attempt's waiting in the mean over all servers
 LET_TRY = 0.1  # share of the hopeless sent all the same, to learn when a server has recovered
 NUDGE = 0.5  # how far one observed hit or miss moves the cached chance
-BACK_OFF = 250.0  # ms; pause after a server failed; doubles, up to 16 times this
-SPOILT = 3  # failures in a row, each sent after the one before was known, that show a server to be at fault
 FETCH_SHARE = 0.15  # of the aim: first guess of an origin fetch's time
-LATE_FETCH = 0.5  # of the aim; a fetch by a server is slow only past this, as its queue is in that time too
+LATE_FETCH = 0.9  # of the aim; a fetch that takes longer earns nothing: the origin has too many
 MAX_WAITS = 2  # times that a write waits for a full origin before it is given up
 ASK_BACK_OFF = 500.0  # ms; first pause after a failed call for the list, doubled each time, jittered
 MAX_ASK_DOUBLED = 2  # times that it is doubled: a drain counts as told before a pause of many seconds is over
@@ -62,18 +64,18 @@
 class Server:
     """What this balancer knows of one server."""
 
-    __slots__ = ("answered", "back_until", "budget", "failed_at", "fails", "lag", "lag_at", "line", "report",
-                 "report_at", "salt", "shut_at", "since", "tally", "told_shut")
+    __slots__ = ("budget", "lag", "lag_at", "limit", "line", "out", "report", "report_at", "salt", "shut_at",
+                 "since", "tally", "told_shut", "trust")
 
     def __init__(self, line: Member, saved: float, since: float) -> None:
         self.line, self.since = line, since  # since: when it was as cold as at its start; 0: long ago
         self.budget = ColdBudget(saved)  # while it is cold
         self.told_shut = line.state != ServerState.READY
-        self.tally = 0.0  # cost of our attempts that are out
+        self.tally, self.out = 0.0, 0  # cost and number of our attempts that are out
+        self.limit = Concurrency()
         self.report, self.report_at = 0.0, -math.inf  # load in ms of waiting, and when it came
         self.lag, self.lag_at = 0.0, -math.inf  # ms of waiting that our last attempt met, and when
-        self.fails, self.failed_at, self.back_until = 0, -math.inf, -math.inf
-        self.answered = -math.inf  # when the last attempt was sent that it has answered
+        self.trust = Trust()
         self.shut_at = math.inf  # when we were told that it drains or is gone
         self.salt = mix(line.server + 1)
 
@@ -101,7 +103,8 @@
     def __init__(self, req: Request, cls: RequestClass, now: float, cost: float) -> None:
         self.req, self.cls, self.cost = req, cls, cost
         self.deadline = now + req.budget
-        self.tries: list[tuple[int, float, float] | None] = []  # server, sent at, cost; None: over
+        # Server, sent at, cost there, its number among those out there, chance of a fetch; None: over.
+        self.tries: list[tuple[int, float, float, int, float] | None] = []
         self.out = 0
         self.ran_at, self.ran_on, self.ran_by = -1.0, 0, -1  # the first attempt that may have run
         self.missed: list[int] = []
@@ -139,6 +142,7 @@
         self.pace = Pace(HALF_LIFE)  # of what is served
         self.warm, self.warm_at = 0.0, -math.inf  # what all can do now, in quick warm servers
         self.speeds = Speeds()
+        self.fetches = Fetches()
         self.guard = OriginGuard(min(c.aim for c in settings.classes) * FETCH_SHARE)
         self.ask_fails, self.subscribed = 0, not settings.must_ask
         self.todo: list[Action] = []
@@ -148,6 +152,7 @@
         self.set, fields, classes = settings.validated(), settings.report_fields, settings.classes
         self.at_field = {name: fields.index(name) for name in ("inflight", "queue", "util") if name in fields}
         self.work = {c.name: self.work.get(c.name) or Work(c.aim * 0.1) for c in classes}
+        self.through = settings.mode == "through"  # servers fetch what they lack
         self.least_worth = max(1e-6, min(c.worth for c in classes))
         self.keep_shut = 3 * max(c.deadline + c.memory_span for c in classes)
 
@@ -192,7 +197,7 @@
     def avoided(self, now: float) -> list[int]:
         """Return the listed servers that are left out now, by operators or by choice."""
         return [n for n, s in self.servers.items()
-                if not s.told_shut and (n in self.excluded or s.back_until > now)]
+                if not s.told_shut and (n in self.excluded or s.trust.back_until > now)]
 
     # membership
 
@@ -218,7 +223,7 @@
                 saving = first_saving(self.rng.random(), self.set.balancers)
                 since = max(line.started, old.since if old else 0.0)
                 self.servers[line.server] = fresh = Server(line, saving, since)
-                fresh.tally = old.tally if old else 0.0
+                fresh.tally, fresh.out = (old.tally, old.out) if old else (0.0, 0)
             else:
                 old.line, old.told_shut = line, line.state != ServerState.READY
         self._forget_gone(now)
@@ -241,7 +246,7 @@
         elif event.server in self.excluded:
             self.excluded.remove(event.server)
             if server := self.servers.get(event.server):
-                server.since, server.fails, server.back_until = now, 0, -math.inf
+                server.since, server.trust = now, Trust()
                 server.budget = ColdBudget(first_saving(self.rng.random(), self.set.balancers))
         self._sort_out()
 
@@ -305,7 +310,12 @@
         """Blend our own tally with the last report, which fades to the fleet's mean as it ages."""
         fresh = math.exp2((server.report_at - now) / REPORT_LIFE)
         told = server.report * fresh + self.mean_report * (1 - fresh)
-        return server.tally + max(told, lag)
+        width = server.limit.limit if server.limit.known else CORES
+        return server.tally / width + max(told, lag)
+
+    def _cost(self, tracked: Tracked, server: Server) -> float:
+        """What a request should take there, in ms."""
+        return tracked.cost / self.speeds.of(server.line.kind)
 
     def _lag(self, now: float, server: Server) -> float:
         """The waiting to expect: what our last attempt there met, fading to the mean over all servers."""
@@ -352,6 +362,8 @@
         total = sum(count for count, _ in counted.values())
         floors: dict[int, tuple[float, int]] = {}
         for server, rank, near in self._homes(entry, tracked.req.key) if entry else ():
+            if not self.fetches.copies.allows(tracked.req.key, rank, near):
+                continue
             floor = max(HOME_FLOOR, total * idf if near else 0.0) * 0.5 ** rank
             floors.setdefault(server.line.server, (floor, int(near)))
         for number in counted:
@@ -362,7 +374,7 @@
         limit = self._limit(now, tracked)
         for number, (floor, role) in floors.items():
             server = self.servers[number]
-            if server.back_until > now or number in tracked.bad or number in tracked.missed or (
+            if server.trust.back_until > now or number in tracked.bad or number in tracked.missed or (
                     server.since > 0 and not self._warm_enough(now, server, tracked)):
                 continue
             count, nudge = counted.get(number, (0.0, 0.0))
@@ -373,7 +385,8 @@
             # a server that would be late comes after every one that would not, be it by what it has from us:
             # its last answers tell only of what was sent before a crowd.
             lag = self._lag(now, server)
-            score = (max(lag, server.tally / CORES) + tracked.cost > limit,
+            wait = lag if server.limit.known else max(lag, server.tally / CORES)
+            score = (not server.limit.allows(server.out) or wait + self._cost(tracked, server) > limit,
                      (self._load(now, server, lag) + cost) / max(floor, count * idf))
             if score < least:
                 best, least, tracked.chance = server, score, chance
@@ -400,8 +413,8 @@
 
     def _hopeless(self, now: float, tracked: Tracked, server: Server) -> bool:
         """Tell whether an answer would come too late to earn anything (guards against queues of those)."""
-        late = self._lag(now, server) + tracked.cost > self._limit(now, tracked)
-        return late and self.rng.random() > LET_TRY
+        late = self._lag(now, server) + self._cost(tracked, server) > self._limit(now, tracked)
+        return not server.limit.allows(server.out) or (late and self.rng.random() > LET_TRY)
 
     def _limit(self, now: float, tracked: Tracked) -> float:
         return min(tracked.deadline - now, tracked.cls.aim)  # incident iddb886: full queues made all late
@@ -421,7 +434,7 @@
         if tracked.missed or (server is None and not tracked.bad):
             self._fetch(now, tracked, entry)
         elif (server is None or self._hopeless(now, tracked, server) or len(tracked.bad) >= MAX_TURNED
-                or (self._is_fetch(tracked) and self._is_too_much(now, tracked))):
+                or (self.through and self._is_too_much(now, tracked))):
             self._give_up(now, tracked)
         elif self._send(now, tracked, server):
             self._watch(now, tracked, tracked.role < 0)
@@ -446,10 +459,10 @@
                 return False
         if server is not self.origin and not self._warm_enough(now, server, tracked):
             return False  # rule 4
-        cost = tracked.cost
-        tracked.tries.append((server.line.server, now, cost))
-        tracked.out += 1
-        server.tally += cost
+        cost = self._cost(tracked, server)
+        tracked.out, server.out, server.tally = tracked.out + 1, server.out + 1, server.tally + cost
+        fetch = self.fetches.sent(self._fetch_chance(tracked))
+        tracked.tries.append((server.line.server, now, cost, server.out, fetch))
         server.budget.spend(self._heavy(tracked))
         if effect == Effect.KEYED and tracked.ran_at < 0:
             # It is out, so it may run.
@@ -489,9 +502,9 @@
             tracked = self.live.get(heappop(self.slow)[1])
             if tracked is None or tracked.ended or tracked.out != 1 or len(tracked.tries) > 1:
                 continue
-            number, sent_at, _ = next(attempt for attempt in tracked.tries if attempt is not None)
+            number, sent_at, *_ = next(attempt for attempt in tracked.tries if attempt is not None)
             first = self.servers[number]
-            if sent_at > first.answered:  # nothing sent later was answered: it is not the connection alone
+            if sent_at > first.trust.answered:  # nothing sent later was: it is not the connection alone
                 first.lag, first.lag_at = max(self._lag(now, first), now - sent_at), now
                 self._suspect(now, first, Result.TIMEOUT, sent_at)
             if self.seconds < 1 or self.own.shed or self.mean_lag > 0.4 * tracked.cls.aim:
@@ -544,9 +557,9 @@
             return
         tracked.tries[event.attempt] = None
         tracked.out -= 1
-        number, sent_at, cost = attempt
+        number, sent_at, cost, out, fetch = attempt
         server, result = self.servers[number], event.result
-        server.tally = max(0.0, server.tally - cost)
+        server.tally, server.out = max(0.0, server.tally - cost), max(0, server.out - 1)
         self._hear(now, server, event.report)
         if result in NEVER_RAN:
             # By its number: another one may have gone to the same server at the same time, and have run.
@@ -554,34 +567,36 @@
                 tracked.ran_at = -1.0
         elif tracked.ran_at < 0:
             tracked.ran_at, tracked.ran_on, tracked.ran_by = sent_at, number, event.attempt
-        self._learn(now, tracked, server, event)
+        self._learn(now, tracked, server, event, cost)
+        learn_limits(server.limit, self.fetches, event, out, fetch, cost, tracked.cls.aim)
+        self.fetches.over(fetch)
         if event.ended or tracked.ended:
             self._close(now, tracked)
         elif tracked.out == 0:
             self._go_on(now, tracked, server, result)
 
-    def _learn(self, now: float, tracked: Tracked, server: Server, event: Outcome) -> None:
+    def _learn(self, now: float, tracked: Tracked, server: Server, event: Outcome, cost: float) -> None:
         """Take from an outcome what it tells of the server, the origin, the class and the key."""
         result, sent_at = event.result, now - event.elapsed
-        lag = event.elapsed - (tracked.cost if result == Result.OK else 0.0)
+        lag = event.elapsed - (cost if result == Result.OK else 0.0)
         # Guards against refusing all because one connection fell silent: where the server has answered what
         # was sent later, a time-out tells of that connection, not of a queue.
         # Nor does the time that a fetch or a write took at the origin.
         failed = result == Result.ERROR and (tracked.chance < 0.5 or lag > 2 * self.guard.usual)
         missed = event.note in (Note.MISS, Note.FETCH_OUT) or failed or (
             result == Result.TIMEOUT and tracked.chance < 0.5)
-        at_origin = self.set.mode == "through" and (tracked.req.is_write or missed)
+        at_origin = self.through and (tracked.req.is_write or missed)
         if at_origin and missed and result in (Result.OK, Result.ERROR, Result.TIMEOUT):
             self.guard.observe(now, result == Result.OK, max(0.0, lag), LATE_FETCH * tracked.cls.aim)
         if not at_origin and (
-                result == Result.OK or (result == Result.TIMEOUT and sent_at > server.answered)):
+                result == Result.OK or (result == Result.TIMEOUT and sent_at > server.trust.answered)):
             server.lag, server.lag_at = max(0.0, lag), now
             if server is not self.origin:
                 self.mean_lag += (server.lag - self.mean_lag) * LAG_SHARE
         if result in (Result.CONNECT_FAILED, Result.RESET, Result.ERROR, Result.TIMEOUT):
             self._suspect(now, server, result, sent_at)
         elif result in (Result.OK, Result.MISS):
-            server.fails, server.answered = 0, max(server.answered, sent_at)
+            server.trust.well(sent_at)
         if server is self.origin:
             if result not in (Result.CANCELLED, Result.MOOT):
                 self.guard.observe(now, result == Result.OK, event.elapsed)
@@ -590,7 +605,7 @@
             # Homes are drawn anew when a kind's speed has changed.
             self.list_count += event.note == Note.HIT and self.speeds.observe(
                 server.line.kind, event.elapsed / work.expected(tracked.req.cost))
-            work.observe(tracked.req.cost, event.elapsed)
+            work.observe(tracked.req.cost, event.elapsed * self.speeds.of(server.line.kind))
         if result == Result.OK:
             self.pace.note(now)
             self.mean_work += (tracked.cost - self.mean_work) * 0.05
@@ -603,30 +618,21 @@
                         -1.0 if failed else 0.0, 1.0 if hit else -1.0)
 
     def _suspect(self, now: float, server: Server, result: Result, sent_at: float) -> None:
-        """Leave a server alone that fails again and again.
-
-        Guards against leaving out half a fleet because single answers are spoilt or connections break, which
-        scatters its keys and jams the origin; and against counting what was out when it failed once more.
-        """
-        if sent_at <= max(server.failed_at, server.answered) or server is self.origin:
-            return
-        server.fails, server.failed_at = server.fails + 1, now
-        beyond = server.fails - (2 if result == Result.CONNECT_FAILED else SPOILT)
-        if beyond >= 0:
-            server.back_until = now + BACK_OFF * float(1 << min(beyond, 4)) * self.rng.uniform(0.7, 1.3)
+        if server is not self.origin:
+            server.trust.failed(now, sent_at, result == Result.CONNECT_FAILED, self.rng.uniform(0.7, 1.3))
 
     def _go_on(self, now: float, tracked: Tracked, server: Server, result: Result) -> None:
         """Decide what follows an attempt that did not answer the client."""
         if result == Result.MISS:
             tracked.missed.append(server.line.server)
-        elif (result not in (Result.ERROR, Result.RESET) or server.fails >= SPOILT
+        elif (result not in (Result.ERROR, Result.RESET) or server.trust.spoilt
                 or tracked.failed_on == server.line.server):
             tracked.bad.append(server.line.server)
         # One broken connection or spoilt answer is no reason to go where the key is not cached.
         tracked.failed_on = server.line.server
         if server is self.origin and result in NEVER_RAN and self._is_origin_work(tracked):
             self._wait(now, tracked)
-        elif server is self.origin or (result == Result.ERROR and self._is_fetch(tracked)):
+        elif server is self.origin or (result == Result.ERROR and self._fetch_chance(tracked) > 0.5):
             self._give_up(now, tracked)  # no unguarded retries at the origin
         else:
             self._route(now, tracked)
@@ -647,10 +653,9 @@
             for number in tracked.missed[:2]:
                 self._count(now, entry, number, 0.0, 1.0)
 
-    def _is_fetch(self, tracked: Tracked) -> bool:
-        """Whether a server would have to ask the origin for it, as far as we know."""
-        return (self.set.mode == "through" and not tracked.req.is_write and bool(tracked.req.key)
-                and tracked.chance < 0.5)
+    def _fetch_chance(self, tracked: Tracked) -> float:
+        """How likely the server chosen would have to ask the origin for it, as far as we know."""
+        return 1.0 - tracked.chance if self.through and tracked.req.key and not tracked.req.is_write else 0.0
 
     def _is_too_much(self, now: float, tracked: Tracked) -> bool:
         """Tell whether the origin is better spared this fetch.
@@ -658,8 +663,9 @@
         Guards against a jam at the origin, in which its fetches hold the servers' places until they fail and
         what is cached can't be served either. What is worth least is let through last.
         """
-        pressure = self.guard.spared(now) if self.set.mode == "through" else self.guard.now(now)
-        if self.rng.random() >= pressure ** (tracked.cls.worth / self.least_worth):
+        if self.through:
+            return not self.fetches.allows(now, self._fetch_chance(tracked), self.rng.random())
+        if self.rng.random() >= self.guard.now(now) ** (tracked.cls.worth / self.least_worth):
             return False
         self.guard.turned_away(now)
         return True
--- /dev/null
+++ b/tests/test_fetches.py
@@ -0,0 +1,79 @@
+"""The limit on fetches: it opens again with the origin, not with the clock."""
+
+from __future__ import annotations
+
+import math
+from random import Random
+
+import pytest
+
+from starlingthread.limits.concurrency import FIRST, Concurrency
+from starlingthread.limits.fetches import Fetches
+
+
+def play(fetches: Fetches, begin: float, span: float, per_s: float, room: int) -> tuple[int, int, int]:
+    """Want fetches at a steady rate of an origin that serves so many at once in 100 ms, and fails the others.
+
+    Return how many were wanted, let through and served.
+    """
+    rng, now, let, served, wanted = Random(3), begin, 0, 0, 0
+    out: list[tuple[float, bool]] = []
+    while now < begin + span:
+        now += 1000.0 / per_s
+        for done in [d for d in out if d[0] <= now]:
+            out.remove(done)
+            fetches.over(1.0)
+            fetches.fetched(done[1], 100.0 if done[1] else 1000.0, 1000.0)
+        wanted += 1
+        if fetches.allows(now, 1.0, rng.random()):
+            let += 1
+            fine = len(out) < room
+            served += fine
+            fetches.sent(1.0)
+            out.append((now + (100.0 if fine else 500.0), fine))
+    for _ in out:
+        fetches.over(1.0)
+    return wanted, let, served
+
+
+def test_what_the_origin_can_serve_is_let_through_and_little_more_and_a_jam_that_ends_is_forgotten() -> None:
+    fetches = Fetches()
+    wanted, let, _ = play(fetches, 0.0, 5000.0, 100.0, 1000)
+    assert let == wanted and not fetches.limit.known  # nothing is limited until something bad was seen
+    wanted, let, served = play(fetches, 5000.0, 10000.0, 200.0, 5)
+    assert served > 0.4 * 500 and let < 0.6 * wanted
+    wanted, let, _ = play(fetches, 15000.0, 3000.0, 100.0, 1000)
+    assert let > 0.8 * wanted
+
+
+def test_a_dead_origin_is_asked_now_and_then_and_what_is_hardly_a_fetch_goes_on() -> None:
+    fetches = Fetches()
+    wanted, let, _ = play(fetches, 0.0, 30000.0, 100.0, 0)
+    assert 0 < let < 0.1 * wanted
+    assert fetches.refused > 0.8 and fetches.copies.level > 1.0
+    fetches.sent(1.0)
+    assert fetches.allows(30000.0, 0.02, 0.0) and not fetches.allows(30000.0, 1.0, 0.0)
+    fetches.over(1.0)
+    _, let, _ = play(fetches, 30000.0, 20000.0, 100.0, 1000)
+    assert let > 1000 and fetches.refused < 0.1
+
+
+@pytest.mark.parametrize("bad_share", [0.0, 0.02, 0.1])
+def test_a_few_bad_answers_limit_nothing(bad_share: float) -> None:
+    limit, rng = Concurrency(), Random(4)
+    for _ in range(5000):
+        if rng.random() < bad_share:
+            limit.bad(1)
+        else:
+            limit.good(1)
+    assert limit.limit > FIRST - 2.0
+
+
+def test_a_limit_is_never_under_its_least_and_always_finite_once_known() -> None:
+    limit = Concurrency()
+    assert limit.allows(10**6) and not limit.known
+    limit.full(0)
+    for _ in range(100):
+        limit.bad(3)
+        limit.full(1)
+    assert limit.limit == 1.0 and limit.allows(0) and not limit.allows(1) and math.isfinite(limit.limit)
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -27,8 +27,9 @@
     tree = ast.parse(POLICY)
     imported = {n.module for n in ast.walk(tree) if isinstance(n, ast.ImportFrom)}
     imported |= {a.name for n in ast.walk(tree) if isinstance(n, ast.Import) for a in n.names}
-    assert imported <= {"__future__", "math", "random", "collections", "heapq", "interface", "limits.core",
-                        "limits.origin", "limits.ramp", "limits.speed", "limits.work"}
+    limits = {"concurrency", "core", "fetches", "learn", "origin", "ramp", "speed", "trust", "work"}
+    assert imported <= {"__future__", "math", "random", "collections", "heapq", "interface",
+                        *(f"limits.{name}" for name in limits)}
     for node in tree.body:
         if isinstance(node, ast.Assign):
             assert not isinstance(node.value, ast.Dict | ast.List | ast.Set | ast.ListComp)
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -87,7 +87,7 @@
     for send in out:
         world.now += 1.0
         world.end(send, Result.RESET, elapsed=500.0)
-    assert world.balancer.servers[home].fails <= 1
+    assert world.balancer.servers[home].trust.fails <= 1
 
 
 def test_a_timeout_is_no_queue_where_later_work_was_answered() -> None:
@@ -164,7 +164,7 @@
         for send in sends(world.pass_time(100.0)):
             if send.server != home:
                 world.end(send, Result.OK, attempt=1)
-    assert world.balancer.servers[home].fails >= 3 and world.balancer.servers[home].back_until > 2200.0
+    assert world.balancer.servers[home].trust.fails >= 3 and world.balancer.servers[home].trust.back_until > 2200.0
 
 
 def test_what_our_own_core_is_too_small_for_is_refused_worth_least_first_and_only_then() -> None:
@@ -238,7 +238,7 @@
     assert second.server == first.server
     world.balancer.servers[first.server].told_shut = True
     for server in world.balancer.servers.values():
-        server.back_until = world.now + 9000.0
+        server.trust.back_until = world.now + 9000.0
     done = world.end(second, Result.CONNECT_FAILED, attempt=1, elapsed=0.0)
     assert [type(a) for a in answers(done)] == [Fail]
 
