Keep quick errors and silent servers from closing the limit on fetches

Three boxes that fail within 26 ms, then a lost zone, closed the limit: 400 to 660 of 900 refused a second; time-outs of the lost zone went into the mean wait of all servers (policy._learn), 200 to 300 more a second. Ruled out: back-off (0.2 to 2.8 of 60 servers), limits of servers (mean above 80). Change: an ERROR counts only if it took at least as long as a fetch, a time-out only if its server has said anything since; the mean wait likewise. The least on fetches is 0.2, so that a router with few of them comes back in seconds.

--- a/starlingthread/limits/fetches.py
+++ b/starlingthread/limits/fetches.py
@@ -12,7 +12,7 @@
 from .concurrency import Concurrency
 from .copies import CopyLimit
 
-LEAST = 0.05  # at once: who asks for none never learns that the origin is well again
+LEAST = 0.2  # at once: who asks for none never learns that the origin is well again
 LATE = 0.9  # of the aim; a fetch that takes longer earns nothing: the origin has too many
 GAIN = 0.05  # weight of one likely fetch in the share of them that is refused
 
--- a/starlingthread/limits/learn.py
+++ b/starlingthread/limits/learn.py
@@ -10,17 +10,23 @@
 
 
 def learn_limits(
-        server: Concurrency, fetches: Fetches, event: Outcome, out: int, fetch: float, cost: float, aim: float) -> None:
+        server: Concurrency, fetches: Fetches, event: Outcome, out: int, fetch: float, cost: float, aim: float,
+        usual: float) -> None:
     """Take in an outcome of an attempt.
 
     out: its number among those out at the server; fetch: the chance, as it was seen, that it had to be fetched;
-    cost: the time that it was expected to take there, and aim: that of its class, in ms.
+    cost: the time that it was expected to take there, and aim: that of its class, in ms; usual: that of a fetch,
+    infinite where the server has said nothing since. What failed in less never was at the origin, and what a silent
+    server owes tells nothing of it: a few boxes that fail at once, or a lost zone, made all routers refuse fetches.
     """
     result = event.result
     if result == Result.FULL:
         server.full(out)
-    elif result == Result.ERROR or event.note == Note.MISS or (result == Result.TIMEOUT and fetch > 0.5):
-        fetches.fetched(result == Result.OK, event.elapsed, aim)
+    elif result == Result.OK and event.note == Note.MISS:
+        fetches.fetched(True, event.elapsed, aim)
+    elif result == Result.ERROR or (result == Result.TIMEOUT and fetch > 0.5):
+        if event.elapsed >= usual:
+            fetches.fetched(False, event.elapsed, aim)
     elif result in (Result.TIMEOUT, Result.CONNECT_FAILED) or (
             result == Result.OK and event.elapsed > max(cost, LATE * aim)):
         server.bad(out)
--- a/starlingthread/limits/origin.py
+++ b/starlingthread/limits/origin.py
@@ -4,6 +4,8 @@
 
 import math
 
+from ..interface import Result
+
 PRESSURE_LIFE = 7000.0  # ms; half-life of what we remember of the origin's answers
 ALARM = 0.25  # what one bad fetch adds to the pressure at once; a quick one takes a fifth off
 SLOW_FETCH = 4.0  # a fetch that took this many times the usual does not count as served
@@ -50,6 +52,11 @@
         self._age(now)
         self.asked += 1
 
+    def answered(self, now: float, result: Result, elapsed: float) -> None:
+        """Take in how something that we sent to the origin ourselves ended, after so many ms."""
+        if result not in (Result.CANCELLED, Result.MOOT):
+            self.observe(now, result == Result.OK, elapsed)
+
     def observe(self, now: float, fine: bool, elapsed: float, enough: float = 0.0) -> None:
         """Take in an answer, or the lack of one; what came within 'enough' ms is never too slow."""
         self._age(now)
--- a/starlingthread/limits/trust.py
+++ b/starlingthread/limits/trust.py
@@ -4,6 +4,8 @@
 
 import math
 
+from ..interface import Result
+
 BACK_OFF = 250.0  # ms; pause after a server failed; doubles, up to 16 times this
 SPOILT = 3  # failures in a row, each sent after the one before was known, that show a server to be at fault
 UNREACHED = 2  # connections in a row that never came up, likewise
@@ -16,11 +18,18 @@
     its keys and jams the origin; and against counting what was out when it failed once more.
     """
 
-    __slots__ = ("answered", "back_until", "failed_at", "fails")
+    __slots__ = ("answered", "back_until", "failed_at", "fails", "heard_at")
 
     def __init__(self) -> None:
         self.fails, self.failed_at, self.back_until = 0, -math.inf, -math.inf
         self.answered = -math.inf  # when the last attempt was sent that it has answered
+        self.heard_at = -math.inf  # when it said anything last
+
+    def heard(self, now: float, sent_at: float, result: Result) -> bool:
+        """Take in an outcome of what was sent then; tell whether the server has said anything since."""
+        if result in (Result.OK, Result.ERROR, Result.FULL, Result.MISS):
+            self.heard_at = now
+        return self.heard_at >= sent_at
 
     def well(self, sent_at: float) -> None:
         """Take in an answer to what was sent then."""
--- a/starlingthread/policy.py
+++ b/starlingthread/policy.py
@@ -568,7 +568,8 @@
         elif tracked.ran_at < 0:
             tracked.ran_at, tracked.ran_on, tracked.ran_by = sent_at, number, event.attempt
         self._learn(now, tracked, server, event, cost)
-        learn_limits(server.limit, self.fetches, event, out, fetch, cost, tracked.cls.aim)
+        usual = self.guard.usual if server.trust.heard(now, sent_at, result) else math.inf
+        learn_limits(server.limit, self.fetches, event, out, fetch, cost, tracked.cls.aim, usual)
         self.fetches.over(fetch)
         if event.ended or tracked.ended:
             self._close(now, tracked)
@@ -580,8 +581,7 @@
         result, sent_at = event.result, now - event.elapsed
         lag = event.elapsed - (cost if result == Result.OK else 0.0)
         # Guards against refusing all because one connection fell silent: where the server has answered what
-        # was sent later, a time-out tells of that connection, not of a queue.
-        # Nor does the time that a fetch or a write took at the origin.
+        # was sent later, a time-out tells of that connection, no queue; nor does the time at the origin.
         failed = result == Result.ERROR and (tracked.chance < 0.5 or lag > 2 * self.guard.usual)
         missed = event.note in (Note.MISS, Note.FETCH_OUT) or failed or (
             result == Result.TIMEOUT and tracked.chance < 0.5)
@@ -591,16 +591,15 @@
         if not at_origin and (
                 result == Result.OK or (result == Result.TIMEOUT and sent_at > server.trust.answered)):
             server.lag, server.lag_at = max(0.0, lag), now
-            if server is not self.origin:
+            # A server that says nothing at all is no sign of queues at the others.
+            if server is not self.origin and server.trust.heard_at >= sent_at:
                 self.mean_lag += (server.lag - self.mean_lag) * LAG_SHARE
         if result in (Result.CONNECT_FAILED, Result.RESET, Result.ERROR, Result.TIMEOUT):
             self._suspect(now, server, result, sent_at)
         elif result in (Result.OK, Result.MISS):
             server.trust.well(sent_at)
         if server is self.origin:
-            if result not in (Result.CANCELLED, Result.MOOT):
-                self.guard.observe(now, result == Result.OK, event.elapsed)
-            return
+            return self.guard.answered(now, result, event.elapsed)
         if result == Result.OK and (work := self.work.get(tracked.cls.name)):
             # Homes are drawn anew when a kind's speed has changed.
             self.list_count += event.note == Note.HIT and self.speeds.observe(
--- a/tests/test_fetches.py
+++ b/tests/test_fetches.py
@@ -7,8 +7,10 @@
 
 import pytest
 
+from starlingthread.interface import Outcome, Result
 from starlingthread.limits.concurrency import FIRST, Concurrency
 from starlingthread.limits.fetches import Fetches
+from starlingthread.limits.learn import learn_limits
 
 
 def play(fetches: Fetches, begin: float, span: float, per_s: float, room: int) -> tuple[int, int, int]:
@@ -77,3 +79,16 @@
         limit.bad(3)
         limit.full(1)
     assert limit.limit == 1.0 and limit.allows(0) and not limit.allows(1) and math.isfinite(limit.limit)
+
+
+@pytest.mark.parametrize(("result", "elapsed", "usual"), [
+    (Result.ERROR, 20.0, 80.0), (Result.TIMEOUT, 900.0, math.inf), (Result.CONNECT_FAILED, 250.0, 80.0)])
+def test_boxes_that_fail_at_once_or_say_nothing_tell_nothing_of_the_origin(
+        result: Result, elapsed: float, usual: float) -> None:
+    """Three bad boxes of sixty, then a lost zone, made forty routers refuse three quarters of what was asked."""
+    fetches, server = Fetches(), Concurrency()
+    for _ in range(100):
+        learn_limits(server, fetches, Outcome(1, 0, 1, result, elapsed, False), 1, 1.0, 50.0, 1000.0, usual)
+    assert not fetches.limit.known
+    learn_limits(server, fetches, Outcome(1, 0, 1, Result.ERROR, 200.0, False), 1, 1.0, 50.0, 1000.0, 80.0)
+    assert fetches.limit.known
