Replace a restarted router's process and its expected end in one step in the emulator

Cause: RouterProcess.start set expected_to_end back before the new process was there; who sampled while it was made saw the killed one (exit -9) as a crash, seen in the test of five faults on a busy machine. psutil.Process raised NoSuchProcess for a router that had ended by then: two of three starts of 200 routers, by the issue's record. Change: process, flag and handle are replaced together once the process is made; a handle that can't be had is none.

--- a/starlingthread/emulator/routers.py
+++ b/starlingthread/emulator/routers.py
@@ -102,16 +102,17 @@
                        "LB_LISTEN": _text(self.listen), "LB_DISCOVERY": f"127.0.0.1:{discovery_port}"}
         command = routers.command or (sys.executable, "-m", "starlingthread")
         self._log = (self.folder / f"{self.name}.log").open("ab")
-        self.expected_to_end = False
-        self.process = await asyncio.create_subprocess_exec(
+        process = await asyncio.create_subprocess_exec(
             *command, env=environment, stdin=asyncio.subprocess.DEVNULL, stdout=self._log, stderr=self._log)
-        self._seen = psutil.Process(self.process.pid)
-        with contextlib.suppress(psutil.Error):
+        # Both at once: who looks meanwhile must not take the one that was killed for a crash.
+        self.process, self.expected_to_end, self._seen = process, False, None
+        with contextlib.suppress(psutil.Error):  # it may have ended already; who looks for its exit code finds it
+            self._seen = psutil.Process(process.pid)
             self._seen.rlimit(psutil.RLIMIT_NOFILE, (routers.sockets, routers.sockets))
         if routers.pin:
             cores = sorted(os.sched_getaffinity(0))
             with contextlib.suppress(OSError):
-                os.sched_setaffinity(self.process.pid, {cores[self.number % len(cores)]})
+                os.sched_setaffinity(process.pid, {cores[self.number % len(cores)]})
 
     async def is_ready(self) -> bool:
         """Wait until it answers ``mn`` with ``MN``; False if it ends or takes too long."""
