Reckon what a zone home saves over all routers that share it

Cause: policy._choose set what this router alone saves against a fetch. Change: the saving counts times routers by zones, from the settings and the list.

--- a/starlingthread/policy.py
+++ b/starlingthread/policy.py
@@ -124,7 +124,7 @@
         self.servers: dict[int, Server] = {}
         self.ready: list[Server] = []  # the cache servers that the list calls ready
         self.near: list[Server] = []  # those of them in our zone
-        self.list_count = 0
+        self.list_count, self.sharing = 0, 1.0  # lists so far; routers that share the homes of a zone
         self.origin: Server | None = None
         self.prior = list(PRIOR)
         self.keys: OrderedDict[int, Key] = OrderedDict()
@@ -238,6 +238,7 @@
             elif not server.told_shut and server.line.server not in self.excluded:
                 self.ready.append(server)
         self.near = [s for s in self.ready if s.line.zone == self.set.zone]
+        self.sharing = max(1.0, self.set.balancers / max(1, len({s.line.zone for s in self.ready})))
 
     def _on_exclusion(self, now: float, event: Exclusion) -> None:
         """Leave a server out, or take it back: for all we know yet it was started anew a moment ago."""
@@ -360,17 +361,16 @@
         idf = math.log(max(1.0, len(self.ready) / len(counted))) if counted else 0.0
         total = sum(count for count, _ in counted.values())
         floors: dict[int, tuple[float, int]] = {}
+        pays = (total + 1) * self.sharing * self.set.price_cross_zone * tracked.cls.aim >= self.guard.usual
         for server, rank, near in self._homes(entry, tracked.req.key) if entry else ():
-            # A copy more is a fetch more; it pays once not leaving the zone has saved as much.
-            if not self.fetches.copies.allows(tracked.req.key, rank, near) or (
-                    near and (total + 1) * self.set.price_cross_zone * tracked.cls.aim < self.guard.usual):
+            # A copy more is a fetch more; it pays once not leaving the zone saves its routers as much.
+            if (near and not pays) or not self.fetches.copies.allows(tracked.req.key, rank, near):
                 continue
             floor = max(HOME_FLOOR, total * idf if near else 0.0) * 0.5 ** rank
             floors.setdefault(server.line.server, (floor, int(near)))
-        for number in counted:
+        sampled = (self.rng.choice(self.ready).line.server for _ in range(SAMPLED if self.ready else 0))
+        for number in (*counted, *sampled):
             floors.setdefault(number, (FLOOR, -1))
-        for _ in range(SAMPLED if self.ready else 0):
-            floors.setdefault(self.rng.choice(self.ready).line.server, (FLOOR, -1))
         miss_cost, best, least = self._miss_cost(now, tracked.cls), None, (True, math.inf)
         limit = self._limit(now, tracked)
         for number, (floor, role) in floors.items():
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -160,13 +160,14 @@
 
 
 def test_a_key_gets_a_home_in_the_zone_once_leaving_it_has_cost_as_much_as_a_fetch() -> None:
-    def near(price: float) -> int:
-        world = World(THROUGH._replace(price_cross_zone=price), members(8, zones=2))
+    def near(price: float, routers: int = 4) -> int:
+        world = World(THROUGH._replace(price_cross_zone=price, balancers=routers), members(8, zones=2))
         homes = [world.read(key) for key in range(1, 200)]
         return sum(home % 2 == 0 for home in homes)
 
     # A fetch takes 75 ms as far as is known, the aim is 500 ms, and half of the servers are in our zone.
     assert near(0.2) > 150 > near(0.02) > 60
+    assert near(0.02, routers=40) > 150  # that many share the home, and each sees little of what it saves
 
 
 def test_second_copies_are_few_and_none_where_all_are_slow() -> None:
