--- a/starlingthread/limits/fetches.py
+++ b/starlingthread/limits/fetches.py
@@ -29,7 +29,7 @@
 
     def allows(self, now: float, chance: float, draw: float) -> bool:
         """Tell whether what is a fetch by this chance may go; what hardly is one counts for little."""
-        allowed = self.limit.allows(self.out * chance, draw * chance)  # who asks for nothing there is never refused
+        allowed = self.limit.allows(self.out * chance, draw)
         if chance > 0.5:
             self.refused += ((not allowed) - self.refused) * GAIN
             self.copies.observe(now, self.refused)
