Copy requests on dead connections where such are seen to stay unanswered

Change: limits/seconds.py owns the budget of copies and learns from how overtaken requests end whether they pay.

--- /dev/null
+++ b/starlingthread/limits/seconds.py
@@ -0,0 +1,47 @@
+"""Which request that is still out gets a second copy at another server, and how many may. Times are ms.
+
+Guards against servers that stand still or vanish, and against connections on which nothing comes any more: a time-out
+at the deadline is too late for these (Dean and Barroso, "The Tail at Scale", 2013). A server that is at work, or that
+waits for the origin, would only do the same twice and fetch it again. One that has said nothing since is at rest, as
+far as we know. Where it answers others, single work may be long or a connection may be dead; which of the two shows
+only in how such requests end, so that is learned.
+"""
+
+from __future__ import annotations
+
+from ..interface import Result
+from .trust import Trust
+
+AFTER = 0.65  # of the aim; what is out longer may get a copy; later still if it was uncounted
+UNCOUNTED = 1.2  # times that
+CACHED = 0.5  # chance of being kept from which what waits so long doesn't wait for the origin
+DEAD = 0.5  # share of those looked at that were never answered from which copies pay
+GAIN = 0.05  # weight of one of them in that share
+LET_BE = 0.1  # share of them that gets no copy all the same, to learn when they are answered again
+SHARE, MOST = 0.03, 6.0  # second copies for each request that is sent, and how many may be saved up
+
+
+class Seconds:
+    """What second copies may be sent, and for whom they are worth their work."""
+
+    __slots__ = ("dead", "saved")
+
+    def __init__(self) -> None:
+        self.saved = 0.0
+        self.dead = 0.0  # share of the requests looked at, at servers that answered others, that were never answered
+
+    def sent(self, aim: float, counted: bool) -> float:
+        """Take in a first attempt, which earns a part of a copy; return after how long to look at it."""
+        self.saved = min(MOST, self.saved + SHARE)
+        return AFTER * aim * (1.0 if counted else UNCOUNTED)
+
+    def pays(self, sent_at: float, trust: Trust, chance: float, draw: float) -> bool:
+        """Tell whether what was sent then, and is cached by this chance, is worth a copy; 'draw' is in [0, 1)."""
+        if self.saved < 1:
+            return False
+        return trust.heard_at <= sent_at or (chance > CACHED and self.dead > DEAD and draw >= LET_BE)
+
+    def ended(self, result: Result, chance: float) -> None:
+        """Take in how one ended that was looked at and got no copy."""
+        if chance > CACHED and result in (Result.OK, Result.TIMEOUT):
+            self.dead += ((result == Result.TIMEOUT) - self.dead) * GAIN
--- a/starlingthread/policy.py
+++ b/starlingthread/policy.py
@@ -22,6 +22,7 @@
 from .limits.learn import learn_limits
 from .limits.origin import OriginGuard
 from .limits.ramp import MARGIN, WARM_LIFE, ColdBudget, Pace, cold_rate, first_saving, ramp
+from .limits.seconds import Seconds
 from .limits.speed import Speeds
 from .limits.trust import Trust
 from .limits.work import Work
@@ -46,8 +47,6 @@
 MAX_WAITS = 2  # times that a write waits for a full origin before it is given up
 ASK_BACK_OFF = 500.0  # ms; first pause after a failed call for the list, doubled each time, jittered
 MAX_ASK_DOUBLED = 2  # times that it is doubled: a drain counts as told before a pause of many seconds is over
-SECOND = 0.65  # of the aim; what is out longer may get a second copy; later still if it was uncounted
-SECONDS = (0.03, 6.0)  # second copies for each request that is sent, and how many may be saved up
 COME_BACK = 0.2  # of the aim; mean of the pause that a refused client is asked for: a retry can still earn
 EARLY = 5.0  # ms; a held request is answered this long before its client gives up
 MASK = (1 << 64) - 1
@@ -98,7 +97,7 @@
     """A request that is owed an answer, or whose attempts are still out."""
 
     __slots__ = ("req", "cls", "chance", "deadline", "failed_on", "cost", "tries", "out", "ran_at", "ran_by",
-                 "ran_on", "missed", "ended", "bad", "streaming", "role", "wake", "waits")
+                 "ran_on", "missed", "ended", "bad", "looked", "streaming", "role", "wake", "waits")
 
     def __init__(self, req: Request, cls: RequestClass, now: float, cost: float) -> None:
         self.req, self.cls, self.cost = req, cls, cost
@@ -108,7 +107,7 @@
         self.out = 0
         self.ran_at, self.ran_on, self.ran_by = -1.0, 0, -1  # the first attempt that may have run
         self.missed: list[int] = []
-        self.ended = self.streaming = False
+        self.ended = self.streaming = self.looked = False  # looked at: it may be on a dead connection
         self.bad: list[int] = []  # servers that failed this request
         self.failed_on = -1  # the server that failed it last, and may be asked once more
         self.chance = 1.0  # that the server chosen last has the key cached
@@ -133,7 +132,7 @@
         self.slow: list[tuple[float, int]] = []  # a heap: when to look if a request is still out, and its id
         self.own = OwnCore()
         self.look_at = math.inf  # when the next of these looks is due
-        self.seconds = 0.0  # second copies that may be sent now
+        self.seconds = Seconds()
         self.excluded: set[int] = set()  # servers that operators leave out
         self.work: dict[str, Work] = {}  # learned times of each class
         self._tune(settings)
@@ -477,9 +476,7 @@
         if not self.set.second_copies or len(tracked.tries) > 1 or (
                 tracked.cls.effect == Effect.UNSAFE or tracked.req.single):
             return
-        share, most = SECONDS
-        self.seconds = min(most, self.seconds + share)
-        due = now + SECOND * tracked.cls.aim * (1.0 if counted else 1.2)
+        due = now + self.seconds.sent(tracked.cls.aim, counted)
         if due < tracked.deadline:
             heappush(self.slow, (due, tracked.req.id))
             self._look_again()
@@ -492,9 +489,7 @@
     def _look(self, now: float) -> None:
         """Send second copies of what should have been answered by now.
 
-        Guards against servers that stand still or vanish: nothing ever comes from them, and a time-out at the
-        deadline is too late. One that has said anything since is at work, or waits for the origin: a copy
-        would be done twice and fetched again. Where all are slow, more work would only add to it.
+        Where all are slow, more work would only add to it.
         """
         if now < self.look_at - 0.01:
             return
@@ -509,13 +504,14 @@
                 first.lag, first.lag_at = max(self._lag(now, first), now - sent_at), now
                 self._suspect(now, first, Result.TIMEOUT, sent_at)
             crowded = self.own.shed or self.mean_lag > 0.4 * tracked.cls.aim
-            if first.trust.heard_at > sent_at or self.seconds < 1 or crowded:
+            tracked.looked = first.trust.heard_at > sent_at
+            if crowded or not self.seconds.pays(sent_at, first.trust, tracked.chance, self.rng.random()):
                 continue
             tracked.bad.append(number)
             key = tracked.req.key
             server = self._choose(now, tracked, self._key(now, key) if key else None)
             if server is not None and self._send(now, tracked, server):
-                self.seconds -= 1
+                self.seconds.saved, tracked.looked = self.seconds.saved - 1, False
             else:
                 tracked.bad.remove(number)
         self._look_again()
@@ -573,6 +569,8 @@
         usual = self.guard.usual if server.trust.heard(now, sent_at, result) else math.inf
         learn_limits(server.limit, self.fetches, event, out, fetch, cost, tracked.cls.aim, usual)
         self.fetches.over(fetch)
+        if tracked.looked:
+            self.seconds.ended(result, tracked.chance)
         if event.ended or tracked.ended:
             self._close(now, tracked)
         elif tracked.out == 0:
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -159,6 +159,29 @@
     assert not sends(world.pass_time(800.0))
 
 
+def test_where_what_is_overtaken_is_never_answered_it_gets_copies_until_it_is_again() -> None:
+    """On rate+silent+leave 19 of 20 requests that were overtaken timed out: single connections had died."""
+    world = World(COPIES)
+
+    def overtaken(result: Result, left: float) -> bool:
+        warmed_up(world)
+        first, sent_at = only_send(world.ask(7)), world.now
+        world.now += 100.0
+        assert any(world.read(7) == first.server for _ in range(5))
+        copies = sends(world.pass_time(400.0 + sent_at - world.now))
+        for copy in copies:
+            world.end(copy, Result.OK, attempt=1)
+            world.end(first, Result.CANCELLED)
+        if not copies:
+            world.now = sent_at + 1000.0 - left
+            world.end(first, result, elapsed=1000.0 - left)
+        return bool(copies)
+
+    assert [overtaken(Result.TIMEOUT, 0.0) for _ in range(40)].index(True) in range(10, 20)
+    assert sum(overtaken(Result.OK, 500.0) for _ in range(80)) in range(5, 60)  # some get none, and show it
+    assert not any(overtaken(Result.OK, 500.0) for _ in range(20))
+
+
 def test_a_key_gets_a_home_in_the_zone_once_leaving_it_has_cost_as_much_as_a_fetch() -> None:
     def near(price: float, routers: int = 4) -> int:
         world = World(THROUGH._replace(price_cross_zone=price, balancers=routers), members(8, zones=2))
