Count writes as work of the origin and refuse nothing cached while its limit is under one

Cause: Fetches.allows drew against the limit without scaling the draw by the chance of a fetch, so a limit under one refused cached reads and writes with the fetches.

Change: a write counts as the origin's work, teaches its limit, and is thinned only while that is under one.

--- a/starlingthread/limits/fetches.py
+++ b/starlingthread/limits/fetches.py
@@ -27,10 +27,15 @@
         self.refused = 0.0  # share of likely fetches that were refused lately
         self.limit, self.copies = Concurrency(LEAST), CopyLimit()
 
-    def allows(self, now: float, chance: float, draw: float) -> bool:
-        """Tell whether what is a fetch by this chance may go; what hardly is one counts for little."""
-        allowed = self.limit.allows(self.out * chance, draw)
-        if chance > 0.5:
+    def allows(self, now: float, chance: float, draw: float, write: bool = False) -> bool:
+        """Tell whether what is a fetch by this chance may go; what hardly is one counts for little.
+
+        A write has no other place to go, and is not asked for again less often once it is refused, as a key is once
+        it is cached. So fetches make room for writes, which are thinned only while the origin bears less than one
+        thing at a time from us: else they fail there, and hold the servers' places until they do.
+        """
+        allowed = self.limit.allows(0.0 if write else self.out * chance, draw * chance)
+        if chance > 0.5 and not write:
             self.refused += ((not allowed) - self.refused) * GAIN
             self.copies.observe(now, self.refused)
         return allowed
--- a/starlingthread/limits/learn.py
+++ b/starlingthread/limits/learn.py
@@ -14,7 +14,7 @@
         usual: float) -> None:
     """Take in an outcome of an attempt.
 
-    out: its number among those out at the server; fetch: the chance, as it was seen, that it had to be fetched;
+    out: its number among those out at the server; fetch: the chance, as it was seen, that it had to ask the origin;
     cost: the time that it was expected to take there, and aim: that of its class, in ms; usual: that of a fetch,
     infinite where the server has said nothing since. What failed in less never was at the origin, and what a silent
     server owes tells nothing of it: a few boxes that fail at once, or a lost zone, made all routers refuse fetches.
@@ -22,7 +22,7 @@
     result = event.result
     if result == Result.FULL:
         server.full(out)
-    elif result == Result.OK and event.note == Note.MISS:
+    elif result == Result.OK and (event.note == Note.MISS or (fetch >= 1 and event.note != Note.HIT)):
         fetches.fetched(True, event.elapsed, aim)
     elif result == Result.ERROR or (result == Result.TIMEOUT and fetch > 0.5):
         if event.elapsed >= usual:
--- a/starlingthread/policy.py
+++ b/starlingthread/policy.py
@@ -653,7 +653,8 @@
 
     def _fetch_chance(self, tracked: Tracked) -> float:
         """How likely the server chosen would have to ask the origin for it, as far as we know."""
-        return 1.0 - tracked.chance if self.through and tracked.req.key and not tracked.req.is_write else 0.0
+        chance = 1.0 if tracked.req.is_write else 1.0 - tracked.chance if tracked.req.key else 0.0
+        return chance if self.through else 0.0
 
     def _is_too_much(self, now: float, tracked: Tracked) -> bool:
         """Tell whether the origin is better spared this fetch.
@@ -662,7 +663,8 @@
         what is cached can't be served either. What is worth least is let through last.
         """
         if self.through:
-            return not self.fetches.allows(now, self._fetch_chance(tracked), self.rng.random())
+            chance, write = self._fetch_chance(tracked), tracked.req.is_write
+            return not self.fetches.allows(now, chance, self.rng.random(), write)
         if self.rng.random() >= self.guard.now(now) ** (tracked.cls.worth / self.least_worth):
             return False
         self.guard.turned_away(now)
--- a/tests/test_fetches.py
+++ b/tests/test_fetches.py
@@ -12,6 +12,8 @@
 from starlingthread.limits.fetches import Fetches
 from starlingthread.limits.learn import learn_limits
 
+from .world import KEYED, THROUGH, World, sends
+
 
 def play(fetches: Fetches, begin: float, span: float, per_s: float, room: int) -> tuple[int, int, int]:
     """Want fetches at a steady rate of an origin that serves so many at once in 100 ms, and fails the others.
@@ -53,8 +55,10 @@
     wanted, let, _ = play(fetches, 0.0, 30000.0, 100.0, 0)
     assert 0 < let < 0.1 * wanted
     assert fetches.refused > 0.8 and fetches.copies.level > 1.0
+    assert not fetches.allows(30000.0, 1.0, 0.99, write=True)  # it would fail there as well
     fetches.sent(1.0)
-    assert fetches.allows(30000.0, 0.02, 0.0) and not fetches.allows(30000.0, 1.0, 0.0)
+    assert fetches.allows(30000.0, 0.02, 0.99) and fetches.allows(30000.0, 0.0, 0.99)
+    assert not fetches.allows(30000.0, 1.0, 0.0) and fetches.allows(30000.0, 1.0, 0.0, write=True)
     fetches.over(1.0)
     _, let, _ = play(fetches, 30000.0, 20000.0, 100.0, 1000)
     assert let > 1000 and fetches.refused < 0.1
@@ -92,3 +96,16 @@
     assert not fetches.limit.known
     learn_limits(server, fetches, Outcome(1, 0, 1, Result.ERROR, 200.0, False), 1, 1.0, 50.0, 1000.0, 80.0)
     assert fetches.limit.known
+
+
+def test_writes_show_the_origins_room_and_go_before_fetches_and_a_jam_thins_them() -> None:
+    """On the first site's overloaded day all writes failed at a jammed origin and filled the servers' queues."""
+    world = World(THROUGH)
+    for _ in range(60):
+        for send in sends(world.ask(7, KEYED)):
+            world.now += 500.0
+            world.end(send, Result.ERROR, elapsed=400.0)
+    limit = world.balancer.fetches.limit
+    assert limit.limit < 0.3 and sum(bool(sends(world.ask(8, KEYED))) for _ in range(100)) < 40
+    limit.limit = 2.0
+    assert len(sends(world.ask(8, KEYED))) == 1 and not sends(world.ask(9))  # never asked for: a fetch, most likely
