Play links that fail for some routers, 300 of them, and measure how even boxes are

Ports now come from parts of the range, one for each process.

Change: emulator/links.py gives each group of routers an address of its own at every box, so a link can be cut, cut one way, slow, lossy or broken for some; discovery and peers can be cut for some; zones and regions have distances; the operator's file stands inline in a scenario; load/evenness.py measures busiest, idle, herd index, period and homes.

--- a/starlingthread/cli/main.py
+++ b/starlingthread/cli/main.py
@@ -22,6 +22,7 @@
 
 EXISTING = click.Path(exists=True, dir_okay=False, path_type=Path)
 FILE = click.Path(dir_okay=False, path_type=Path)
+MANY_ROUTERS = 10  # more are not told one by one
 
 
 def fail(text: str) -> NoReturn:
@@ -163,7 +164,15 @@
         table.add_row(cls.name, *map(str, (cls.offered, cls.in_time, cls.late, cls.refused, cls.failed)),
                       f"{cls.worth_share:.3f}", *figures)
     console.print(table)
-    for router in results.routers:
+    if (even := results.evenness) is not None:
+        console.print(f"boxes: busiest {even.busiest_1s:.2f} of its part in 1 s, {even.busiest_10s:.2f} in 10 s, least "
+                      f"{even.least:.2f}, {even.idle_boxes} idle at times, herd index {even.herd_index:.2f}, period "
+                      f"{even.period_s:g} s, homes differ {even.homes_differ:.3f}, {even.connections:.0f} connections",
+                      highlight=False)
+    busiest = sorted(results.routers, key=lambda r: -r.requests)[:MANY_ROUTERS]
+    if len(busiest) < len(results.routers):
+        console.print(f"the {len(busiest)} busiest of {len(results.routers)} routers:", highlight=False)
+    for router in busiest:
         console.print(f"{router.name}: {router.requests} requests, {router.cpu_us_per_request:.0f} µs of CPU each, "
                       f"{router.memory_mb_most:.1f} MB, {router.descriptors_most} descriptors", highlight=False)
     for fault in results.faults:
--- a/starlingthread/emulator/boxes.py
+++ b/starlingthread/emulator/boxes.py
@@ -13,13 +13,12 @@
 
 import numpy as np
 
+from .links import Door, Lane
 from .model import BoxModel, Chances, Job
-from .ports import free_port
 from .records import ANSWERED, CUT, FAILED, RUN, TURNED_AWAY, BoxEvent, Delivery, Ledger
 
 MAX_LINE = 4096
 MAX_VALUE = 1 << 20
-BACKLOG = 512
 
 
 class LoopSchedule:
@@ -65,8 +64,10 @@
 class BoxConnection(asyncio.Protocol):
     """One connection of a router to a box. Answers leave in the order of the commands."""
 
-    def __init__(self, server: BoxServer) -> None:
-        self.server = server
+    def __init__(self, server: BoxServer, door: Door) -> None:
+        self.server, self.door = server, door
+        self.inward = Lane(door, False, server.schedule, self._arrived)
+        self.outward = Lane(door, True, server.schedule, self._send)
         self.transport: asyncio.Transport
         self.buffer = bytearray()
         self.slots: deque[Slot] = deque()
@@ -103,6 +104,9 @@
         return False  # a router that ends its sending gives its attempts up
 
     def data_received(self, data: bytes) -> None:
+        self.inward.push(data)
+
+    def _arrived(self, data: bytes) -> None:
         if self.server.is_frozen:
             self.server.held_in.append((self, data, self.server.now()))
         elif not self.dead:
@@ -194,6 +198,10 @@
         if self.server.is_frozen:
             self.server.held_out.append((self, data))
         elif not self.dead:
+            self.outward.push(data)
+
+    def _send(self, data: bytes) -> None:
+        if not self.dead:
             self.transport.write(data)
 
     def cut(self) -> None:
@@ -209,22 +217,20 @@
     """A box: its listening socket, its connections, its model, and what is wrong with it right now."""
 
     def __init__(self, model: BoxModel, name: str, zone: str, value_bytes: int, schedule: LoopSchedule,
-                 ledger: Ledger, rng: np.random.Generator) -> None:
+                 ledger: Ledger, rng: np.random.Generator, doors: list[Door] | None = None) -> None:
         self.model, self.name, self.zone, self.schedule, self.ledger = model, name, zone, schedule, ledger
         self.number = model.number
         self.now = schedule.now
         self.padding = b"x" * value_bytes
         self.connections: set[BoxConnection] = set()
-        self.port = 0
         self.malformed = 0
         self.is_silent = self.is_frozen = False
         self.reset_share = self.spoilt_share = self.half_share = 0.0
         self.held_in: list[tuple[BoxConnection, bytes, float]] = []
         self.held_out: list[tuple[BoxConnection, bytes]] = []
         self._chances = Chances(rng)
-        self._listener: asyncio.Server | None = None
-        self._fillers: list[socket.socket] = []
-        self._deaf: socket.socket | None = None
+        self.doors = doors or [Door(0, self._chances)]
+        self.is_up = False
         model.on_fall = self._fell
 
     def event(self, what: str, pushed_by: tuple[str, ...] = ()) -> None:
@@ -233,14 +239,19 @@
 
     # life
 
+    @property
+    def port(self) -> int:
+        """The port that the first group of routers knows."""
+        return self.doors[0].port
+
     async def start(self) -> None:
-        """Listen, at the same address as before if there was one."""
-        listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.port = self.port or free_port(socket.SOCK_STREAM)
-        listening.bind(("127.0.0.1", self.port))
-        loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(lambda: BoxConnection(self), sock=listening, backlog=BACKLOG)
+        """Listen, at the same addresses as before if there were any."""
+        self.is_up = True
+        for door in self.doors:
+            await self._open(door)
+
+    async def _open(self, door: Door) -> None:
+        await door.open(lambda: BoxConnection(self, door))
 
     def crash(self) -> None:
         """The process dies: connections are reset, new ones refused."""
@@ -257,9 +268,9 @@
         await self.start()
 
     def _close_listener(self) -> None:
-        if self._listener is not None:
-            self._listener.close()
-            self._listener = None
+        self.is_up = False
+        for door in self.doors:
+            door.close()
 
     def _fell(self, pushed_by: tuple[str, ...]) -> None:
         self.event("fell", pushed_by)
@@ -280,32 +291,34 @@
             with contextlib.suppress(RuntimeError):
                 connection.transport.pause_reading()
         self._close_listener()
-        # A listening socket whose one place is taken answers no SYN: that is how a missing machine looks.
-        deaf = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        deaf.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            deaf.bind(("127.0.0.1", self.port))
-            deaf.listen(0)
-        except OSError:  # the address is not free yet: new connections are refused instead
-            deaf.close()
-            return
-        self._deaf = deaf
-        for _ in range(2):
-            filler = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            filler.setblocking(False)
-            filler.connect_ex(("127.0.0.1", self.port))
-            self._fillers.append(filler)
+        for door in self.doors:
+            door.deafen()
 
     async def return_from_silence(self) -> None:
         """The machine is back: old connections are reset."""
-        for sock in [*self._fillers, *([self._deaf] if self._deaf else [])]:
-            sock.close()
-        self._fillers, self._deaf = [], None
         for connection in list(self.connections):
             connection.cut()
         self.is_silent = False
         await self.start()
 
+    async def set_link(self, groups: list[int], figures: dict[str, float]) -> None:
+        """Change the links of some groups of routers (all, if none is named): figures of Door by their names."""
+        for door in self.doors:
+            if groups and door.group not in groups:
+                continue
+            was_cut = door.cut_in or door.cut_out
+            for name, value in figures.items():
+                setattr(door, name, door.usual_delay + value if name == "delay" else value)
+            is_cut = door.cut_in or door.cut_out
+            if self.is_up and is_cut and not was_cut:
+                door.deafen()
+            elif self.is_up and was_cut and not is_cut:
+                await self._open(door)
+            for connection in list(self.connections):
+                if connection.door is door:
+                    connection.inward.heal()
+                    connection.outward.heal()
+
     def freeze(self) -> None:
         """The process stands still; the system still accepts connections and bytes for it."""
         self.is_frozen = True
@@ -343,6 +356,12 @@
             delivery.end = CUT
             connection.cut()
             return
+        if how == "served" and connection.door.broken and self._chances.next() < connection.door.broken:
+            delivery.end = CUT
+            connection.write(answer[:len(answer) // 2])
+            connection.transport.close()  # what is written still goes out, then the connection ends
+            connection.dead = True
+            return
         if how == "served" and self.half_share and self._chances.next() < self.half_share:
             delivery.end = CUT
             connection.write(answer[:len(answer) // 2])
--- a/starlingthread/emulator/discovery.py
+++ b/starlingthread/emulator/discovery.py
@@ -17,16 +17,17 @@
 
 
 class Entry:
-    """A line of the list."""
+    """A line of the list. Each group of routers knows the box by an address of its own."""
 
-    def __init__(self, number: int, name: str, address: str, zone: str) -> None:
-        self.number, self.name, self.address, self.zone = number, name, address, zone
+    def __init__(self, number: int, name: str, addresses: list[str], zone: str) -> None:
+        self.number, self.name, self.addresses, self.zone = number, name, addresses, zone
         self.status, self.since_ms, self.changed = "in_service", 0, 1
         self.started_at = 0.0  # the same moment on the machine's monotonic clock
 
-    def line(self) -> dict[str, Any]:
-        """Return it in the form of the protocol."""
-        return {"name": self.name, "address": self.address, "zone": self.zone, "type": "std", "group": 0,
+    def line(self, router: int = 0) -> dict[str, Any]:
+        """Return it in the form of the protocol, as one router is told it."""
+        address = self.addresses[router % len(self.addresses)]
+        return {"name": self.name, "address": address, "zone": self.zone, "type": "std", "group": 0,
                 "status": self.status, "weight": 1.0, "since_ms": self.since_ms}
 
 
@@ -38,6 +39,7 @@
         self.index = 1
         self.entries: dict[int, Entry] = {}
         self.is_down = False
+        self.cut_off: set[int] = set()  # routers whose calls hear nothing
         self.calls = self.failed = 0
         self.ports: list[int] = []
         self._routers, self._router_of_port = routers, {0: 0}
@@ -91,20 +93,26 @@
             for task in list(self._watches):
                 task.cancel()
 
-    def snapshot(self) -> dict[str, Any]:
-        """Return the whole list in the form of the protocol."""
+    def cut(self, routers: set[int], is_cut: bool) -> None:
+        """Cut some routers off, or let them hear again: their calls and watches stand still meanwhile."""
+        self.cut_off = self.cut_off | routers if is_cut else self.cut_off - routers
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def snapshot(self, router: int = 0) -> dict[str, Any]:
+        """Return the whole list in the form of the protocol, as one router is told it."""
         return {"index": self.index, "snapshot": True,
-                "endpoints": [entry.line() for entry in self.entries.values()]}
+                "endpoints": [entry.line(router) for entry in self.entries.values()]}
 
-    def _since(self, index: int) -> tuple[dict[str, Any], list[Entry]]:
+    def _since(self, index: int, router: int = 0) -> tuple[dict[str, Any], list[Entry]]:
         if index <= 0 or index > self.index or (len(self._gone) == KEPT_CHANGES and self._gone[0][0] > index):
             entries = list(self.entries.values())
-            return {"index": self.index, "snapshot": True, "endpoints": [e.line() for e in entries]}, entries
+            return {"index": self.index, "snapshot": True, "endpoints": [e.line(router) for e in entries]}, entries
         entries = [e for e in self.entries.values() if e.changed > index]
         back = {e.number for e in entries}
         entries += [e for at, e in self._gone if at > index and e.number not in back
                     and e.number not in self.entries]
-        return {"index": self.index, "snapshot": False, "endpoints": [e.line() for e in entries]}, entries
+        return {"index": self.index, "snapshot": False, "endpoints": [e.line(router) for e in entries]}, entries
 
     def _note(self, router: int, entries: list[Entry]) -> None:
         at = time.monotonic() * 1000.0
@@ -118,6 +126,8 @@
         router = self._router_of_port[request.transport.get_extra_info("sockname")[1]]
         async with self._one_at_a_time:
             await asyncio.sleep(self.call_ms / 1000.0)
+        while router in self.cut_off:
+            await self._changed.wait()
         if self.is_down:
             self.failed += 1
             if self.failed % 2:
@@ -125,7 +135,7 @@
             return web.Response(status=503)
         if request.query.get("watch") != "1":
             entries = list(self.entries.values())
-            body = json.dumps(self.snapshot())
+            body = json.dumps(self.snapshot(router))
             self._note(router, entries)
             return web.Response(text=body, content_type="application/json")
         try:
@@ -145,8 +155,10 @@
         try:
             while True:
                 changed = self._changed
+                while router in self.cut_off:
+                    await self._changed.wait()
                 if first or after < self.index:
-                    body, entries = self._since(after)
+                    body, entries = self._since(after, router)
                     after, first = self.index, False
                     await response.write(json.dumps(body).encode() + b"\n")
                     self._note(router, entries)
--- a/starlingthread/emulator/faults.py
+++ b/starlingthread/emulator/faults.py
@@ -14,7 +14,7 @@
 import numpy as np
 
 from .records import Marked
-from .scenario import Fault, Scenario
+from .scenario import Fault, Scenario, link_groups
 
 LEAVES_AFTER = 3.0  # s that a draining box has for what it holds
 FRONT_GRACE = 0.3  # s for which new connections still go to a router after SIGTERM
@@ -31,6 +31,15 @@
     async def box_set(self, number: int, name: str, value: float) -> None:
         """Set a figure of a box."""
 
+    async def set_link(self, number: int, groups: list[int], figures: dict[str, float]) -> None:
+        """Change a box's links to some groups of routers, all if none is named."""
+
+    def cut_discovery(self, routers: set[int], is_cut: bool) -> None:
+        """Cut routers off from discovery, or end that."""
+
+    def split_peers(self, routers: set[int], is_split: bool) -> None:
+        """Let datagrams of some routers reach only one another, or end that."""
+
     def list_box(self, number: int, status: str, restarted: bool = False) -> None:
         """Change a box's line at discovery."""
 
@@ -69,9 +78,12 @@
     """Return the boxes (or routers) that a fault strikes: those it names, else a part drawn by the seed."""
     if fault.kind.endswith("-router"):
         return fault.routers or (int(rng.integers(scenario.routers.count)),)
-    boxes = scenario.fleet.boxes
-    if fault.kind == "zone-dark":
-        zones = scenario.fleet.zones
+    boxes, zones = scenario.fleet.boxes, scenario.fleet.zones
+    if fault.kind in ON_ROUTER_LINKS:
+        groups = groups_of(fault, scenario)
+        return fault.routers or tuple(
+            n for n in range(scenario.routers.count) if n % link_groups(scenario) in groups)
+    if fault.zone and not fault.boxes:
         return tuple(n for n in range(boxes) if zones[n % len(zones)] == fault.zone)
     if fault.boxes:
         return fault.boxes
@@ -79,8 +91,17 @@
     return tuple(sorted(int(n) for n in rng.choice(boxes, size=min(count, boxes), replace=False)))
 
 
-ON_BOXES = {"slow", "pause", "pauses", "heavy-tail", "silent", "crash", "replace", "reset", "late-reports", "spoilt",
-            "half-answers", "shrink", "zone-dark"}
+def groups_of(fault: Fault, scenario: Scenario) -> list[int]:
+    """Return the groups of routers whose links a fault strikes: those it names, else those of the zone from_zone."""
+    zones = scenario.fleet.zones
+    return [g for g in range(link_groups(scenario)) if (not fault.groups or g in fault.groups)
+            and (not fault.from_zone or zones[g % len(zones)] == fault.from_zone)]
+
+
+ON_ROUTER_LINKS = {"discovery-cut", "peers-cut"}
+ON_BOXES = {
+    "link-cut", "link-slow", "link-lossy", "link-broken", "slow", "pause", "pauses", "heavy-tail", "silent", "crash",
+    "replace", "reset", "late-reports", "spoilt", "half-answers", "shrink", "zone-dark"}
 
 
 class Faults:
@@ -113,7 +134,8 @@
         await _until(started_at + (fault.start_s + fault.length_s) * 1000.0)
         if fault.length_s or fault.kind == "replace":
             await self._end(fault, struck)
-        where = "boxes " if fault.kind in ON_BOXES else "routers " if fault.kind.endswith("-router") else ""
+        on_routers = fault.kind.endswith("-router") or fault.kind in ON_ROUTER_LINKS
+        where = "boxes " if fault.kind in ON_BOXES else "routers " if on_routers else ""
         self.stage.mark(Marked(
             fault.label(), fault.kind, began, time.monotonic() * 1000.0,
             where + ",".join(map(str, struck)) if where else ""))
@@ -123,6 +145,12 @@
         if kind in FIGURES:
             for number in struck:
                 await stage.box_set(number, FIGURES[kind][0], strength)
+        elif kind in LINKS:
+            await self._link(fault, struck, True)
+        elif kind == "discovery-cut":
+            stage.cut_discovery(set(struck), True)
+        elif kind == "peers-cut":
+            stage.split_peers(set(struck), True)
         elif kind == "heavy-tail":
             for number in struck:
                 await stage.box_set(number, "tail_share", fault.share)
@@ -172,6 +200,12 @@
         if kind in FIGURES:
             for number in struck:
                 await stage.box_set(number, *FIGURES[kind])
+        elif kind in LINKS:
+            await self._link(fault, struck, False)
+        elif kind == "discovery-cut":
+            stage.cut_discovery(set(struck), False)
+        elif kind == "peers-cut":
+            stage.split_peers(set(struck), False)
         elif kind == "heavy-tail":
             for number in struck:
                 await stage.box_set(number, "tail_share", 0.0)
@@ -197,6 +231,15 @@
             for number in struck:
                 stage.signal_router(number, signal.SIGCONT)
 
+    async def _link(self, fault: Fault, struck: tuple[int, ...], begins: bool) -> None:
+        """Set what is wrong with the links between some boxes and some groups of routers."""
+        figures: dict[str, float] = {LINKS[fault.kind]: fault.strength if begins else 0.0}
+        if fault.kind == "link-cut":
+            figures = {"cut_in": begins and fault.way != "from-box", "cut_out": begins and fault.way != "to-box"}
+        for number in struck:
+            with contextlib.suppress(ConnectionError):
+                await self.stage.set_link(number, groups_of(fault, self.scenario), figures)
+
     async def _pauses(self, fault: Fault, number: int) -> None:
         """Pause a box again and again; boxes struck together pause one after another."""
         for _ in range(max(1, int(fault.length_s / fault.every_s))):
@@ -219,6 +262,10 @@
     "spoilt": ("spoilt_share", 0.0), "half-answers": ("half_share", 0.0)}
 
 
+# What a fault of a link sets at a box's address for some routers.
+LINKS = {"link-cut": "cut_in", "link-slow": "delay", "link-lossy": "loss", "link-broken": "broken"}
+
+
 async def _each(stage: Stage, numbers: tuple[int, ...], method: str) -> None:
     for number in numbers:
         with contextlib.suppress(ConnectionError):
--- a/starlingthread/emulator/ports.py
+++ b/starlingthread/emulator/ports.py
@@ -23,14 +23,16 @@
         return 32768
 
 
-def free_port(kind: socket.SocketKind) -> int:
+def free_port(kind: socket.SocketKind, part: int = 0, parts: int = 1) -> int:
     """Return a port that nobody holds, and that no connection is given by chance. Raise an OSError if none is found.
 
-    Guards against a router or box that is down for a while and finds its port taken when it comes back.
+    Guards against a router or box that is down for a while and finds its port taken when it comes back. Processes of
+    one run take theirs from different parts of the range: a port that one has chosen and not opened yet looks free to
+    another (of 200 routers and 60 boxes two met in every second run, and a router ended at its start).
     """
     end = _end()
     for _ in range(TRIES):
-        port = _random.randrange(FIRST, end)
+        port = _random.randrange(FIRST + part, end, parts)
         if port in _given:
             continue
         with socket.socket(socket.AF_INET, kind) as sock:
--- a/starlingthread/emulator/relay.py
+++ b/starlingthread/emulator/relay.py
@@ -29,6 +29,7 @@
 
     def __init__(self, spec: Datagrams, rng: np.random.Generator) -> None:
         self.spec, self.drop = spec, 0.0
+        self.split: list[set[int]] = []  # routers that hear nobody outside their set, nor are heard there
         self.sent = self.delivered = self.dropped = self.too_long = self.strangers = 0
         self.listeners: list[tuple[str, int]] = []  # where each router listens
         self.addresses: list[tuple[str, int]] = []
@@ -60,6 +61,9 @@
             if to == origin:
                 continue
             self.sent += 1
+            if any((to in part) != (origin in part) for part in self.split):
+                self.dropped += 1
+                continue
             copies = 2 if self._chances.next() < self.spec.repeat else 1
             for _ in range(copies):
                 if self._chances.next() < self.spec.drop or self._chances.next() < self.drop:
--- a/starlingthread/emulator/routers.py
+++ b/starlingthread/emulator/routers.py
@@ -14,6 +14,7 @@
 from typing import IO, Any
 
 import psutil
+import tomli_w
 
 from .ports import free_port
 from .records import Ledger, RouterEvent, RouterSample
@@ -60,8 +61,9 @@
     def __init__(self, number: int, scenario: Scenario, folder: Path, ledger: Ledger) -> None:
         self.number, self.scenario, self.folder, self.ledger = number, scenario, folder, ledger
         self.name = f"r{number}"
-        self.listen = ("127.0.0.1", free_port(socket.SOCK_STREAM))
-        self.peer_listen = ("127.0.0.1", free_port(socket.SOCK_DGRAM))
+        part = (0, 1 + scenario.machine.box_processes)  # as emulator/worker.py has it
+        self.listen = ("127.0.0.1", free_port(socket.SOCK_STREAM, *part))
+        self.peer_listen = ("127.0.0.1", free_port(socket.SOCK_DGRAM, *part))
         self.process: asyncio.subprocess.Process | None = None
         self.starts = 0
         self.expected_to_end = False
@@ -100,6 +102,10 @@
         path = self.configure(discovery_port, peers, everyone, known)
         environment = {**os.environ, "LB_CONFIG": str(path), "LB_NAME": self.name,
                        "LB_LISTEN": _text(self.listen), "LB_DISCOVERY": f"127.0.0.1:{discovery_port}"}
+        if routers.options:
+            own = self.folder / "options.toml"
+            own.write_text(tomli_w.dumps(routers.options))
+            environment["STARLINGTHREAD_OPTIONS"] = str(own)
         command = routers.command or (sys.executable, "-m", "starlingthread")
         self._log = (self.folder / f"{self.name}.log").open("ab")
         process = await asyncio.create_subprocess_exec(
--- a/starlingthread/emulator/run.py
+++ b/starlingthread/emulator/run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import os
 import resource
 import signal
 import sys
@@ -29,6 +30,7 @@
 
 SAMPLE_EVERY = 0.25  # s between looks at the routers
 START_WITHIN = 30.0  # s for workers to come up
+SAMPLED_AT_ONCE = 30  # routers; more are looked at less often, as a look costs 0.1 ms
 HEADROOM = 0.5  # s between the last set-up and the first request
 EXTRA_END = 2.0  # s past the longest deadline in which every operation must have ended
 STOP_WITHIN = 8.0  # s that a router has after SIGTERM
@@ -131,6 +133,18 @@
     async def box_set(self, number: int, name: str, value: float) -> None:
         await self._box(number).call("set", number, name, value)
 
+    async def set_link(self, number: int, groups: list[int], figures: dict[str, float]) -> None:
+        await self._box(number).call("link", number, groups, figures)
+
+    def cut_discovery(self, routers: set[int], is_cut: bool) -> None:
+        self.discovery.cut(routers, is_cut)
+
+    def split_peers(self, routers: set[int], is_split: bool) -> None:
+        if is_split:
+            self.relay.split.append(routers)
+        else:
+            self.relay.split.remove(routers)
+
     def list_box(self, number: int, status: str, restarted: bool = False) -> None:
         entry = self._entries[number]
         entry.status = status
@@ -184,7 +198,8 @@
 
     def _place_of(self, number: int) -> tuple[int, list[tuple[str, int]], tuple[str, int], dict[str, Any]]:
         """Return what a router is told of the platform."""
-        return (self.discovery.ports[number], self.relay.addresses, self.relay.everyone, self.discovery.snapshot())
+        return (self.discovery.ports[number], self.relay.addresses, self.relay.everyone,
+                self.discovery.snapshot(number))
 
     async def start_router(self, number: int) -> None:
         at = self.schedule.now()
@@ -228,7 +243,7 @@
         self.has_clients = False
         async with self._platform():
             for entry in self.discovery.entries.values():
-                say(f"box {entry.number} {entry.name} {entry.zone} {entry.address}")
+                say(f"box {entry.number} {entry.name} {entry.zone} {entry.addresses[0]}")
             for router in self.routers:
                 if routers:
                     await self.start_router(router.number)
@@ -251,8 +266,10 @@
         try:
             await self._set_up(server.sockets[0].getsockname()[1])
             yield
-        except (ConnectionError, RuntimeError) as error:
-            raise RunError(f"the emulator failed: {error}") from error
+        except* RunError as group:
+            raise group.exceptions[0] from None
+        except* (ConnectionError, RuntimeError) as group:
+            raise RunError(f"the emulator failed: {group.exceptions[0]}") from group
         finally:
             self._over = True
             for router in self.routers:
@@ -287,12 +304,13 @@
         if not done:
             raise RunError("the emulator's processes did not come up in time; is the machine overloaded?")
         plain = msgspec.to_builtins(scenario)
-        ports: dict[int, int] = {}
+        ports: dict[int, list[int]] = {}
         for number in range(scenario.machine.box_processes):
             ports.update(await self.workers[("boxes", number)].call("setup", plain))
         zones = scenario.fleet.zones
         self._entries = {
-            n: Entry(n, f"s-{n:04d}", f"127.0.0.1:{ports[n]}", zones[n % len(zones)]) for n in sorted(ports)}
+            n: Entry(n, f"s-{n:04d}", [f"127.0.0.1:{port}" for port in ports[n]], zones[n % len(zones)])
+            for n in sorted(ports)}
         for number in range(scenario.fleet.cold_boxes):
             self._entries[number].since_ms = int(time.time() * 1000.0)
             self._entries[number].started_at = self.schedule.now()
@@ -302,14 +320,22 @@
 
     async def _start_routers(self) -> None:
         self.progress(0.0, self.scenario.length_s, "starting routers")
-        await asyncio.gather(*(self.start_router(r.number) for r in self.routers))
+        places = asyncio.Semaphore(2 * (os.cpu_count() or 1))  # all at once they'd be late to get ready
+
+        async def start(number: int) -> None:
+            async with places:
+                await self.start_router(number)
+
+        async with asyncio.TaskGroup() as starting:  # the first that fails ends the others
+            for router in self.routers:
+                starting.create_task(start(router.number))
 
     async def _start_clients(self) -> None:
         scenario = self.scenario
         plain = msgspec.to_builtins(scenario)
         addresses = [r.listen for r in self.routers]
         if scenario.traffic.direct:
-            places = [entry.address.rpartition(":") for entry in self._entries.values()]
+            places = [entry.addresses[0].rpartition(":") for entry in self._entries.values()]
             addresses = [(host, int(port)) for host, _, port in places]
         await asyncio.gather(*(self.workers[("clients", n)].call("setup", plain, addresses)
                                for n in range(scenario.machine.load_processes)))
@@ -359,7 +385,7 @@
             done = (self.schedule.now() - started) / 1000.0
             running = [f.label() for f in self.scenario.faults if f.start_s <= done < f.start_s + f.length_s]
             self.progress(max(0.0, min(done, length)), length, ", ".join(running) or "traffic")
-            await asyncio.sleep(SAMPLE_EVERY)
+            await asyncio.sleep(SAMPLE_EVERY * max(1.0, len(self.routers) / SAMPLED_AT_ONCE))
 
     async def _collect(self) -> Outcome:
         self.progress(self.scenario.length_s, self.scenario.length_s, "collecting")
--- a/starlingthread/emulator/scenario.py
+++ b/starlingthread/emulator/scenario.py
@@ -10,8 +10,12 @@
 from typing import Annotated, Any, Literal, get_args
 
 import msgspec
+import tomli_w
 from msgspec import Meta
 
+from ..options import OptionsError
+from ..options import parse as parse_options
+
 Share = Annotated[float, Meta(ge=0.0, le=1.0)]
 Positive = Annotated[float, Meta(gt=0.0)]
 NotNegative = Annotated[float, Meta(ge=0.0)]
@@ -21,7 +25,8 @@
 FaultKind = Literal[
     "slow", "pause", "pauses", "heavy-tail", "silent", "crash", "replace", "reset", "late-reports", "spoilt",
     "half-answers", "garbage-clients", "half-commands", "leaving-clients", "lost-datagrams", "discovery-down",
-    "kill-router", "stop-router", "restart-router", "shrink", "zone-dark", "origin-jam", "surge"]
+    "kill-router", "stop-router", "restart-router", "shrink", "zone-dark", "origin-jam", "surge",
+    "link-cut", "link-slow", "link-lossy", "link-broken", "discovery-cut", "peers-cut"]
 
 DAY_LIMIT = 24 * 3600.0
 MAX_OPERATIONS = 20_000_000  # arrivals are drawn ahead and lie in memory: about 40 bytes each
@@ -50,6 +55,9 @@
 
     boxes: Annotated[int, Meta(ge=1, le=10000)] = 9
     zones: Annotated[tuple[str, ...], Meta(min_length=1)] = ("bloco-a", "bloco-b", "bloco-c")
+    regions: tuple[str, ...] = ()  # the region of each zone; none: all in one
+    zone_ms: NotNegative = 0.0  # one way, between two zones of a region
+    region_ms: NotNegative = 0.0  # one way, between two regions
     slots: Count = 8
     waiting: Annotated[int, Meta(ge=0)] = 16
     speed: Positive = 1.0
@@ -88,12 +96,14 @@
 class Routers(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """The routers under test and their limits."""
 
-    count: Annotated[int, Meta(ge=1, le=200)] = 3
+    count: Annotated[int, Meta(ge=1, le=300)] = 3
     cores: Positive = 1.0
     memory_mb: Positive = 128.0
     sockets: Annotated[int, Meta(ge=64)] = 1024
     peer_messages: bool = True
     pin: bool = False
+    link_groups: Annotated[int, Meta(ge=0, le=30)] = 0  # routers whose links fail together: by number; 0: by zone
+    options: dict[str, Any] = msgspec.field(default_factory=dict)  # the operator's file, as tables
     command: tuple[str, ...] = ()  # empty: the router of this project
 
 
@@ -169,7 +179,10 @@
     share: Share = 0.02  # of the commands, for heavy-tail
     every_s: Positive = 1.0  # between the beginnings of pauses
     routers: tuple[int, ...] = ()
-    zone: str = ""
+    zone: str = ""  # strikes its boxes
+    groups: tuple[int, ...] = ()  # of routers, whose links are struck; none: all
+    from_zone: str = ""  # those of this zone alone
+    way: Literal["both", "to-box", "from-box"] = "both"  # what a link-cut stops
 
     def label(self) -> str:
         """Return the name that reports show."""
@@ -216,10 +229,29 @@
     "lost-datagrams": (0.0, 1.0, "share that is lost"),
     "origin-jam": (1.0, 1000.0, "how many times less the origin takes"),
     "surge": (0.0, 100.0, "rate as a multiple"),
+    "link-slow": (0.0, 60000.0, "ms more, each way"),
+    "link-lossy": (0.0, 1.0, "share of what is sent that is lost at first"),
+    "link-broken": (0.0, 1.0, "share of answers in which the connection ends"),
     "replace": (0.0, 60000.0, "ms until the new box answers at the same address"),
 }
 
 
+def link_groups(scenario: Scenario) -> int:
+    """Return how many groups of routers have links of their own to the boxes."""
+    return scenario.routers.link_groups or len(scenario.fleet.zones)
+
+
+def distance_ms(scenario: Scenario, box: int, group: int) -> float:
+    """Return the time one way between a box and the routers of a group."""
+    fleet = scenario.fleet
+    zones = box % len(fleet.zones), group % len(fleet.zones)
+    if zones[0] == zones[1]:
+        return 0.0
+    if fleet.regions and fleet.regions[zones[0]] != fleet.regions[zones[1]]:
+        return fleet.region_ms
+    return fleet.zone_ms
+
+
 def check(scenario: Scenario, where: str) -> Scenario:
     """Check what types can't say. Raise a ScenarioError that names file, key and what was expected."""
 
@@ -238,6 +270,15 @@
                         f"expected true, as effect is {cls.effect!r}: only writes have one")
         if cls.aim_ms > cls.deadline_ms:
             raise wrong(f"traffic.classes[{number}].aim_ms", f"expected at most deadline_ms {cls.deadline_ms:g}")
+    if fleet.regions and len(fleet.regions) != len(fleet.zones):
+        raise wrong("fleet.regions", f"expected the region of each of the {len(fleet.zones)} zones, in their order")
+    if link_groups(scenario) % len(fleet.zones):
+        raise wrong("routers.link_groups", f"expected a multiple of the {len(fleet.zones)} zones, so that the routers "
+                                           f"of a group are of one zone")
+    try:
+        parse_options(tomli_w.dumps(scenario.routers.options), "routers.options")
+    except OptionsError as error:
+        raise ScenarioError(f"{where}: {error}") from None
     if fleet.cold_boxes > fleet.boxes:
         raise wrong("fleet.cold_boxes", f"expected at most fleet.boxes {fleet.boxes}")
     for number, fault in enumerate(scenario.faults):
@@ -255,8 +296,11 @@
             raise wrong(f"{key}.boxes", f"expected numbers from 0 to {fleet.boxes - 1}")
         if any(not 0 <= r < scenario.routers.count for r in fault.routers):
             raise wrong(f"{key}.routers", f"expected numbers from 0 to {scenario.routers.count - 1}")
-        if fault.kind == "zone-dark" and fault.zone not in fleet.zones:
-            raise wrong(f"{key}.zone", f"expected one of {', '.join(fleet.zones)}, found {fault.zone!r}")
+        for name, zone in (("zone", fault.zone), ("from_zone", fault.from_zone)):
+            if zone not in fleet.zones and (zone or (name == "zone" and fault.kind == "zone-dark")):
+                raise wrong(f"{key}.{name}", f"expected one of {', '.join(fleet.zones)}, found {zone!r}")
+        if any(not 0 <= g < link_groups(scenario) for g in fault.groups):
+            raise wrong(f"{key}.groups", f"expected numbers from 0 to {link_groups(scenario) - 1}")
     operations = traffic.rate * scenario.length_s * max(
         [1.0, *(f.strength for f in scenario.faults if f.kind == "surge")])
     if operations > MAX_OPERATIONS:
--- a/starlingthread/emulator/worker.py
+++ b/starlingthread/emulator/worker.py
@@ -15,12 +15,13 @@
 import uvloop
 
 from ..load.client import Load
-from ..load.traffic import draw, hottest_first, key_name, streams
+from ..load.traffic import box_speeds, draw, hottest_first, key_name, streams
 from .boxes import BoxServer, LoopSchedule
 from .channel import Channel
-from .model import BoxModel
+from .links import Door
+from .model import BoxModel, Chances
 from .records import BoxSample, Ledger
-from .scenario import Scenario
+from .scenario import Scenario, distance_ms, link_groups
 
 LAG_TICK = 0.005  # s
 SAMPLE_EVERY = 1.0  # s
@@ -103,20 +104,22 @@
 class Boxes(Worker):
     """Some of the boxes."""
 
-    async def do_setup(self, scenario: dict[str, Any]) -> dict[int, int]:
-        """Make and start the boxes of this process; return their ports."""
+    async def do_setup(self, scenario: dict[str, Any]) -> dict[int, list[int]]:
+        """Make and start the boxes of this process; return the ports of each, one for each group of routers."""
         self.scenario = msgspec.convert(scenario, Scenario)
         fleet = self.scenario.fleet
         self.origin = RemoteOrigin(self.channel)
         self.boxes: dict[int, BoxServer] = {}
         rngs = streams(self.scenario.seed + 7_000_003, fleet.boxes * 2)
-        speeds = streams(self.scenario.seed + 8_000_003, 1)[0].uniform(
-            1.0 - fleet.speed_spread, 1.0 + fleet.speed_spread, fleet.boxes)
+        speeds = box_speeds(self.scenario)
         for number in range(self.number, fleet.boxes, self.scenario.machine.box_processes):
-            model = BoxModel(number, fleet, fleet.speed * float(speeds[number]), self.schedule, self.origin,
-                             rngs[2 * number])
+            model = BoxModel(number, fleet, speeds[number], self.schedule, self.origin, rngs[2 * number])
+            chances = Chances(rngs[2 * number + 1])
+            processes = self.scenario.machine.box_processes
+            doors = [Door(group, chances, distance_ms(self.scenario, number, group),
+                          (1 + self.number, 1 + processes)) for group in range(link_groups(self.scenario))]
             box = BoxServer(model, f"s-{number:04d}", fleet.zones[number % len(fleet.zones)],
-                            self.scenario.traffic.value_bytes, self.schedule, self.ledger, rngs[2 * number + 1])
+                            self.scenario.traffic.value_bytes, self.schedule, self.ledger, rngs[2 * number + 1], doors)
             model.on_fall = lambda pushed, box=box: self._fell(box, pushed)  # type: ignore[misc]
             self.boxes[number] = box
             await box.start()
@@ -127,7 +130,7 @@
                 self.boxes[number].model.boot(cold=True)
                 self.boxes[number].event("cold")
         self._sample()
-        return {number: box.port for number, box in self.boxes.items()}
+        return {number: [door.port for door in box.doors] for number, box in self.boxes.items()}
 
     def _warm(self) -> None:
         """Fill each box with a spread of the hottest keys, as after a day's work."""
@@ -167,6 +170,10 @@
         if asyncio.iscoroutine(result):
             await result
 
+    async def do_link(self, number: int, groups: list[int], figures: dict[str, float]) -> None:
+        """Change a box's links to some groups of routers."""
+        await self.boxes[number].set_link(groups, figures)
+
     async def do_set(self, number: int, name: str, value: float) -> None:
         """Set what is wrong with a box, or with its model."""
         box = self.boxes[number]
--- a/starlingthread/load/report.py
+++ b/starlingthread/load/report.py
@@ -50,6 +50,10 @@
 {% endfor %}</tr>{% endfor %}</table>
 {% for title, picture in pictures %}<h2>{{ title }}</h2>
 <img alt="{{ title }}" src="data:image/png;base64,{{ picture }}">{% endfor %}
+{% if r.evenness %}<h2>Evenness of the boxes</h2><p class="about">Load against a box's part by its speed: 1 is even.
+The herd index is the variance of arrivals in 50 ms over their mean: 1 by chance alone.</p><table>
+{% for name in r.evenness.__struct_fields__ %}<tr><td>{{ name.replace("_", " ") }}</td>
+<td>{{ "%g" | format(r.evenness[name]) }}</td></tr>{% endfor %}</table>{% endif %}
 <h2>Routers</h2>
 <table><tr><th>router</th><th>requests</th><th>CPU µs a request</th><th>share of a core</th><th>memory MB</th>
 <th>descriptors</th></tr>
--- a/starlingthread/load/results.py
+++ b/starlingthread/load/results.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import platform
 from collections import defaultdict
 from pathlib import Path
@@ -14,13 +15,16 @@
 from ..emulator.judge import Verdict
 from ..emulator.records import RUN, Ledger, Marked, Operation, RouterSample
 from ..emulator.scenario import Class, Scenario
-import itertools
+from .evenness import Evenness, measure
 
 FORMAT = 1
 LEAST_US, MOST_US, DIGITS = 1, 120_000_000, 3
 PERCENTILES = (50.0, 75.0, 90.0, 95.0, 99.0, 99.9, 99.99, 100.0)
 
 
+EVENNESS = ("busiest_1s", "busiest_10s", "least", "idle_share", "herd_index", "homes_differ", "connections")
+
+
 class ResultError(Exception):
     """A file of results can't be read; the text says which and why."""
 
@@ -98,6 +102,7 @@
     lags: dict[str, float]
     garbage: dict[str, int]
     verdict: Verdict
+    evenness: Evenness | None = None  # None: too short to tell
 
     @property
     def passed(self) -> bool:
@@ -234,7 +239,8 @@
         classes=classes, routers=routers, seconds=_seconds(scenario, ledger), faults=faults,
         box_load=_box_lines(ledger, "busy"), box_commands=_box_lines(ledger, "commands"),
         box_connections=_box_lines(ledger, "connections"), router_cpu=cpu, router_memory=memory,
-        router_descriptors=descriptors, facts=facts, lags=ledger.lags, garbage=ledger.garbage, verdict=verdict)
+        router_descriptors=descriptors, facts=facts, lags=ledger.lags, garbage=ledger.garbage, verdict=verdict,
+        evenness=measure(scenario, ledger))
 
 
 def write(results: Results, path: Path) -> None:
@@ -275,6 +281,10 @@
                Change("attempts a request", before.attempts_per_request, after.attempts_per_request),
                Change("hit share", before.hit_share, after.hit_share),
                Change("violations", sum(before.verdict.counts.values()), sum(after.verdict.counts.values()))]
+    if before.evenness is not None and after.evenness is not None:
+        for name in EVENNESS:
+            figures = getattr(before.evenness, name), getattr(after.evenness, name)
+            changes.append(Change(name.replace("_", " "), *figures))
     others = {c.name: c for c in after.classes}
     for cls in before.classes:
         if (other := others.get(cls.name)) is None:
--- a/starlingthread/load/traffic.py
+++ b/starlingthread/load/traffic.py
@@ -23,6 +23,14 @@
     return [np.random.default_rng(s) for s in np.random.SeedSequence(seed).spawn(count)]
 
 
+def box_speeds(scenario: Scenario) -> list[float]:
+    """Return the speed of each box, drawn by the seed: the same wherever it is asked for."""
+    fleet = scenario.fleet
+    draw = streams(scenario.seed + 8_000_003, 1)[0].uniform(
+        1.0 - fleet.speed_spread, 1.0 + fleet.speed_spread, fleet.boxes)
+    return [fleet.speed * float(one) for one in draw]
+
+
 def zipf_weights(keys: int, exponent: float) -> npt.NDArray[np.float64]:
     """Return the cumulated shares of ranks 1 to ``keys`` under a bounded Zipf law."""
     weights = 1.0 / np.arange(1, keys + 1, dtype=np.float64) ** exponent
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -289,7 +289,7 @@
     async def whole() -> None:
         told: list[Told] = []
         server = DiscoveryServer(2, 0.0, told)
-        entries = [Entry(n, f"s-{n}", f"127.0.0.1:{n + 1}", "a") for n in range(3)]
+        entries = [Entry(n, f"s-{n}", [f"127.0.0.1:{n + 1}"], "a") for n in range(3)]
         server.entries = {e.number: e for e in entries}
         await server.start()
         _, status = await call(server.ports[0], "/registry/instances")
@@ -376,6 +376,15 @@
     async def bad_clients(self, per_second: float, seconds: float, half: bool) -> None:
         self.done.append(("bad", half))
 
+    async def set_link(self, number: int, groups: list[int], figures: dict[str, float]) -> None:
+        self.done.append(("link", number, " ".join(f"{name}={value:g}" for name, value in figures.items())))
+
+    def cut_discovery(self, routers: set[int], is_cut: bool) -> None:
+        self.done.append(("discovery cut", *routers, is_cut))
+
+    def split_peers(self, routers: set[int], is_split: bool) -> None:
+        self.done.append(("split", *routers, is_split))
+
     def discovery_down(self, is_down: bool) -> None:
         self.done.append(("down", is_down))
 
@@ -419,6 +428,12 @@
                ("terminated", False)],
     "zone-dark": [("silence", 1), ("return_from_silence", 1), ("terminated", False), ("in_service", False)],
     "origin-jam": [("jam", 2.0), ("jam", 1.0)], "surge": [],
+    "link-cut": [("link", 1, "cut_in=1 cut_out=1"), ("link", 1, "cut_in=0 cut_out=0")],
+    "link-slow": [("link", 1, "delay=2"), ("link", 1, "delay=0")],
+    "link-lossy": [("link", 1, "loss=0.5"), ("link", 1, "loss=0")],
+    "link-broken": [("link", 1, "broken=0.5"), ("link", 1, "broken=0")],
+    "discovery-cut": [("discovery cut", 1, True), ("discovery cut", 1, False)],
+    "peers-cut": [("split", 1, True), ("split", 1, False)],
 }
 
 
--- /dev/null
+++ b/tests/test_stage.py
@@ -0,0 +1,203 @@
+"""The stage for many processes: links that fail for some routers, ports that do not meet, the measure of evenness."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+import msgspec
+import numpy as np
+import pytest
+
+from starlingthread.emulator import scenario
+from starlingthread.emulator.links import RESENT, Door, Lane
+from starlingthread.emulator.model import BoxModel, Chances, OriginModel
+from starlingthread.emulator.boxes import BoxServer, LoopSchedule
+from starlingthread.emulator.ports import free_port
+from starlingthread.emulator.records import BoxEvent, BoxSample, Delivery, Ledger, Try
+from starlingthread.load import evenness, traffic
+
+BASE = scenario.Scenario("stage")
+
+
+class Hand:
+    """A clock that goes on by hand."""
+
+    def __init__(self) -> None:
+        self.time = 0.0
+        self.calls: list[tuple[float, Callable[[], None]]] = []
+
+    def now(self) -> float:
+        return self.time
+
+    def after(self, delay: float, then: Callable[[], None]) -> None:
+        self.calls.append((self.time + delay, then))
+
+    def go(self, until: float) -> None:
+        while due := [c for c in self.calls if c[0] <= until]:
+            first = min(due, key=lambda c: c[0])
+            self.calls.remove(first)
+            self.time = max(self.time, first[0])
+            first[1]()
+        self.time = until
+
+
+def lane(is_out: bool = False, **figures: float) -> tuple[Hand, Door, Lane, list[bytes]]:
+    hand = Hand()
+    got: list[bytes] = []
+    door = Door(0, Chances(np.random.default_rng(1)))
+    for name, value in figures.items():
+        setattr(door, name, value)
+    return hand, door, Lane(door, is_out, hand, got.append), got
+
+
+def test_a_plain_link_holds_nothing_up_and_a_slow_or_lossy_one_keeps_the_order() -> None:
+    _, _, plain, got = lane()
+    plain.push(b"1")
+    assert got == [b"1"]
+    hand, door, slow, got = lane(delay=30.0)
+    slow.push(b"1")
+    door.loss = 1.0
+    hand.go(10.0)
+    slow.push(b"2")
+    door.loss = door.delay = 0.0
+    slow.push(b"3")  # would overtake
+    hand.go(29.0)
+    assert got == []
+    hand.go(31.0)
+    assert got == [b"1"]
+    hand.go(10.0 + 30.0 + RESENT + 1.0)
+    assert got == [b"1", b"2", b"3"]
+
+
+def test_what_a_cut_holds_arrives_when_it_heals_and_the_other_way_is_as_it_was() -> None:
+    hand, door, inward, got = lane(cut_in=True)
+    answers: list[bytes] = []
+    outward = Lane(door, True, hand, answers.append)
+    inward.push(b"1")
+    outward.push(b"a")
+    hand.go(5000.0)
+    assert got == [] and answers == [b"a"]
+    door.cut_in = False
+    inward.heal()
+    assert got == [b"1"]
+
+
+def test_a_cut_link_is_cut_for_its_group_alone_and_new_connections_do_not_come_up() -> None:
+    async def script() -> None:
+        schedule, rng = LoopSchedule(asyncio.get_running_loop()), np.random.default_rng(1)
+        fleet = scenario.Fleet(hit_ms=1.0, handshake_ms=0.0, work_cv=0.0)
+        origin = OriginModel(scenario.Origin(fetch_ms=1.0, cv=0.0), schedule, rng)
+        doors = [Door(group, Chances(rng)) for group in range(2)]
+        box = BoxServer(BoxModel(0, fleet, 1.0, schedule, origin, rng), "s-0", "a", 50, schedule, Ledger(), rng, doors)
+        await box.start()
+        sides = [await asyncio.open_connection("127.0.0.1", door.port) for door in doors]
+
+        async def answered(group: int, rid: int) -> bool:
+            reader, writer = sides[group]
+            writer.write(f"mg k v O{rid} Pc=read,d=480\r\n".encode())
+            try:
+                async with asyncio.timeout(0.1):
+                    return (await reader.readline()).startswith(b"VA ") and bool(await reader.readline())
+            except TimeoutError:
+                return False
+
+        assert await answered(0, 1) and await answered(1, 2)
+        await box.set_link([1], {"cut_in": False, "cut_out": True})
+        assert await answered(0, 3) and not await answered(1, 4)
+        assert len(box.ledger.deliveries) == 4  # one way: it came, and only the answer did not
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(asyncio.open_connection("127.0.0.1", doors[1].port), 0.1)
+        await box.set_link([1], {"cut_in": False, "cut_out": False})
+        assert (await asyncio.wait_for(sides[1][0].readline(), 1.0)).startswith(b"VA 50 O4 ")
+        await sides[1][0].readline()
+        await box.set_link([], {"broken": 1.0})
+        sides[1][1].write(b"mg k v O5 Pc=read,d=480\r\n")
+        cut_off = await asyncio.wait_for(sides[1][0].read(), 1.0)
+        assert 0 < len(cut_off) < 60
+        box.crash()
+
+    asyncio.run(script())
+
+
+def test_processes_of_a_run_never_choose_the_same_port() -> None:
+    chosen = [{free_port(socket.SOCK_STREAM, part, 3) for _ in range(100)} for part in range(3)]
+    assert not chosen[0] & chosen[1] and not chosen[1] & chosen[2] and not chosen[0] & chosen[2]
+
+
+def test_the_operators_file_and_the_links_of_a_scenario_are_checked() -> None:
+    good = scenario.parse('name = "x"\n[routers]\nlink_groups = 6\n[routers.options.log]\nlevel = "error"\n', "f")
+    assert good.routers.options == {"log": {"level": "error"}} and scenario.link_groups(good) == 6
+    for text, wanted in (
+            ("[routers.options.log]\nlevel = 7\n", "log.level"), ("[routers]\nlink_groups = 4\n", "multiple of the 3"),
+            ('[[faults]]\nkind = "link-cut"\nstart_s = 1.0\nfrom_zone = "q"\n', "from_zone"),
+            ('[[faults]]\nkind = "link-cut"\nstart_s = 1.0\ngroups = [3]\n', "numbers from 0 to 2"),
+            ('[fleet]\nregions = ["n"]\n', "the region of each")):
+        with pytest.raises(scenario.ScenarioError, match=wanted):
+            scenario.parse('name = "x"\n' + text, "f")
+    apart = scenario.parse('name = "x"\n[fleet]\nregions = ["n", "n", "s"]\nzone_ms = 1.0\nregion_ms = 9.0\n', "f")
+    assert [scenario.distance_ms(apart, box, 0) for box in range(3)] == [0.0, 1.0, 9.0]
+
+
+# evenness
+
+
+def played(rates: list[float], length: float = 32.0, wave: float = 0.0, herd: int = 1) -> evenness.Evenness:
+    """Measure a run in which boxes of one speed got so many requests a second."""
+    spec = msgspec.structs.replace(
+        BASE, length_s=length, fleet=scenario.Fleet(boxes=len(rates), speed_spread=0.0), traffic=scenario.Traffic())
+    ledger, rng = Ledger(started_at=1000.0), np.random.default_rng(5)
+    for box, rate in enumerate(rates):
+        for at in np.cumsum(rng.exponential(1000.0 * herd / rate, int(rate * length / herd * 1.2))):
+            if at < length * 1000.0 and rng.random() < (1 + np.sin(at / 1000.0 * 2 * np.pi / wave) if wave else 2) / 2:
+                ledger.deliveries += [Delivery("x", box, 1000.0 + at, 1000.0 + at)] * herd
+        ledger.loads.append(BoxSample(box, 9000.0, 0.5, 1, 4 + box))
+    found = evenness.measure(spec, ledger)
+    assert found is not None
+    return found
+
+
+def test_even_load_measures_as_even_and_a_busy_an_idle_and_a_herded_box_show() -> None:
+    even = played([50.0] * 8)
+    assert even.busiest_10s < 1.25 and even.least > 0.9 and even.idle_boxes == 0 and even.period_s == 0.0
+    assert 0.9 < even.herd_index < 1.1 and (even.connections, even.connections_most) == (7.5, 11.0)
+    uneven = played([150.0, 2.0, *[50.0] * 6])
+    assert uneven.busiest_10s > 2.5 and uneven.idle_boxes == 1 and uneven.least < 0.1
+    assert played([50.0] * 8, herd=5).herd_index > 4.0
+    assert played([50.0] * 4, wave=2.0).period_s == 0.0  # all boxes together: the traffic's own doing
+    assert evenness.measure(BASE, Ledger()) is None
+
+
+def test_a_swing_of_some_boxes_against_the_others_is_told_with_its_period() -> None:
+    spec = msgspec.structs.replace(BASE, length_s=42.0, fleet=scenario.Fleet(boxes=6, speed_spread=0.0))
+    ledger, rng = Ledger(), np.random.default_rng(5)
+    for box in range(6):
+        for at in rng.uniform(0, 42000.0, 4000):
+            if rng.random() < 0.5 + 0.4 * np.sin(2 * np.pi * at / 2000.0) * (1 if box % 2 else -1):
+                ledger.deliveries.append(Delivery("x", box, at, at))
+    found = evenness.measure(spec, ledger)
+    assert found is not None and found.period_s == pytest.approx(2.0, rel=0.1) and found.period_strength > 2.0
+
+
+def test_a_box_out_of_service_is_neither_idle_nor_counted_and_speeds_weigh() -> None:
+    spec = msgspec.structs.replace(BASE, length_s=32.0, fleet=scenario.Fleet(boxes=4, speed_spread=0.5, cold_ms=1000.0))
+    speeds, ledger, rng = traffic.box_speeds(spec), Ledger(), np.random.default_rng(2)
+    for box, speed in enumerate(speeds):
+        count = int(3000 * speed)
+        ledger.deliveries += [Delivery("x", box, at, at) for at in rng.uniform(0, 32000.0, count)
+                              if box != 1 or not 8000.0 < at < 20000.0]
+    ledger.boxes = [BoxEvent(1, "draining", 8000.0), BoxEvent(1, "cold", 19000.0)]
+    found = evenness.measure(spec, ledger)
+    assert found is not None and found.idle_boxes == 0 and found.busiest_10s < 1.15
+
+
+def test_homes_differ_where_two_routers_use_other_boxes_for_a_key() -> None:
+    spec = msgspec.structs.replace(BASE, length_s=12.0)
+    ledger = Ledger()
+    for router, box in ((0, 1), (1, 1), (2, 5)):
+        for n in range(4):
+            ledger.tries.append(Try(f"{router}-{n}", n, 0, 7, router, 5000.0, 1000.0))
+            ledger.deliveries.append(Delivery(f"{router}-{n}", box, 5000.0, 5000.0))
+    found = evenness.measure(spec, ledger)
+    assert found is not None and found.homes_differ == pytest.approx(2 / 3, abs=1e-3)
