Give hot keys more homes by their own rate, if the operator's file turns it on

Cause: with 200 routers the busiest box got 3.58 times its part in any 10 s (200 processes, 60 boxes, 1.5% writes), the variation over boxes was 0.51, herd index 0.95 and no period: uneven, no herd. The ten hottest keys make nine tenths of the variance; a key has three homes in the fleet and three in a zone however hot it is. Ruled out: own tallies (0 or 1 nearly always) and reports (one in 8 s) as a signal.

Change: balance/ draws homes (moved from policy._homes), counts how often a key is read and written, and gives it homes as long as each is asked 4 times before it loses the key; each router keeps to three of them by its own number.

--- a/starlingthread/__main__.py
+++ b/starlingthread/__main__.py
@@ -54,7 +54,10 @@
 class Program:
     """Wires the actors together and ends them."""
 
-    def __init__(self, config: Config, writer: LogWriter, inheritance: Inheritance | None = None) -> None:
+    def __init__(self, config: Config, writer: LogWriter, inheritance: Inheritance | None = None,
+                 own: options.Options | None = None) -> None:
+        self.own = own or options.Options()
+        config = config._replace(settings=self.own.over(config.settings))
         self.config, self.writer, self.counters, self.watcher = config, writer, Counters(), Watcher()
         self.stop = asyncio.Event()
         self.serving = False  # the clients' listener is bound
@@ -181,6 +184,7 @@
             self.router.telemetry.reconfig_failed += 1
             log.error("reload-failed", why=" ".join(str(error).split()))
             return
+        new = new._replace(settings=self.own.over(new.settings))
         self.counters.note("reloads.done")
         self.router.telemetry.reconfig_ok += 1
         self.router.retune(new.settings)
@@ -203,6 +207,7 @@
             self.counters.note("reloads.options_failed")
             log.error("options-failed", why=" ".join(str(error).split()))
             return
+        self.own = new
         self.writer.set(new.log)
 
     def _collect(self) -> None:
@@ -296,7 +301,7 @@
             log.warning("handover-failed", why=repr(error))  # we bind beside the old process then
 
     async def serve() -> int:
-        return await Program(config, writer, inheritance).run()
+        return await Program(config, writer, inheritance, own).run()
 
     try:
         return asyncio.run(serve())
--- a/starlingthread/options.py
+++ b/starlingthread/options.py
@@ -13,6 +13,8 @@
 
 import msgspec
 
+from .interface import Settings
+
 VARIABLE = "STARLINGTHREAD_OPTIONS"
 USUAL = Path("deploy/starlingthread.toml")
 
@@ -28,10 +30,21 @@
     level: Literal["debug", "info", "warning", "error"] = "info"
 
 
+class Balance(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """How load is spread over the cache servers."""
+
+    enabled: bool = False
+
+
 class Options(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """The whole file."""
 
     log: Log = Log()
+    balance: Balance = Balance()
+
+    def over(self, settings: Settings) -> Settings:
+        """Return the platform's settings with what this file turns on in the module."""
+        return settings._replace(balance=self.balance.enabled)
 
 
 def where() -> Path | None:
--- a/starlingthread/policy.py
+++ b/starlingthread/policy.py
@@ -8,7 +8,7 @@
 
 import math
 from collections import OrderedDict
-from heapq import heappop, heappush, nlargest
+from heapq import heappop, heappush
 from random import Random
 
 from .interface import (
@@ -16,6 +16,9 @@
     Outcome, PeerMessage, ProbeResult, Refuse, Request, RequestClass, Result, Retuned, Send, ServerState,
     SetTimer, Settings, Timer, Watch, Withdrawn,
 )
+from .balance.hot import Crowd
+from .balance.key import KeyHomes
+from .balance.homes import MASK, Home, Homes, Place, mix
 from .limits.concurrency import Concurrency
 from .limits.core import OwnCore
 from .limits.fetches import Fetches
@@ -49,17 +52,9 @@
 MAX_ASK_DOUBLED = 2  # times that it is doubled: a drain counts as told before a pause of many seconds is over
 COME_BACK = 0.2  # of the aim; mean of the pause that a refused client is asked for: a retry can still earn
 EARLY = 5.0  # ms; a held request is answered this long before its client gives up
-MASK = (1 << 64) - 1
 ASK, LOOK = 0, 1 << 60  # timer labels; the others are 1 + the id of a held request
 
 
-def mix(value: int) -> int:
-    """Hash a number, the same at every balancer."""
-    value = (value ^ (value >> 31)) * 0x9E3779B97F4A7C15 & MASK
-    value = (value ^ (value >> 29)) * 0xBF58476D1CE4E5B9 & MASK
-    return value ^ (value >> 32)
-
-
 class Server:
     """What this balancer knows of one server."""
 
@@ -82,12 +77,11 @@
 class Key:
     """Our counts of one key: per server the count, when it was last decayed, and the nudge of the chance."""
 
-    __slots__ = ("counts", "fetcher", "homes", "homes_at", "used_at", "waiting")
+    __slots__ = ("counts", "fetcher", "homes", "used_at", "waiting")
 
     def __init__(self) -> None:
         self.used_at = math.inf
-        self.homes: list[tuple[Server, int, bool]] = []  # home, its rank, whether it is one of our zone's
-        self.homes_at = -1  # the list that they were taken from
+        self.homes = KeyHomes()
         self.counts: dict[int, tuple[float, float, float]] = {}
         self.fetcher = 0  # the request whose fetch from the origin is out
         self.waiting: list[Tracked] = []
@@ -122,8 +116,9 @@
         self.rng = Random(seed)
         self.servers: dict[int, Server] = {}
         self.ready: list[Server] = []  # the cache servers that the list calls ready
-        self.near: list[Server] = []  # those of them in our zone
-        self.list_count, self.sharing = 0, 1.0  # lists so far; routers that share the homes of a zone
+        self.list_count = 0  # lists so far
+        self.places, self.places_at = Homes(settings.me, HOMES), -1  # the list that they were taken from
+        self.crowd = Crowd()
         self.origin: Server | None = None
         self.prior = list(PRIOR)
         self.keys: OrderedDict[int, Key] = OrderedDict()
@@ -153,6 +148,7 @@
         self.work = {c.name: self.work.get(c.name) or Work(c.aim * 0.1) for c in classes}
         self.through = settings.mode == "through"  # servers fetch what they lack
         self.least_worth = max(1e-6, min(c.worth for c in classes))
+        self.list_count += 1  # homes are drawn anew
         self.keep_shut = 3 * max(c.deadline + c.memory_span for c in classes)
 
     def start(self, now: float) -> list[Action]:
@@ -236,8 +232,7 @@
                 self.origin = server if not server.told_shut else self.origin
             elif not server.told_shut and server.line.server not in self.excluded:
                 self.ready.append(server)
-        self.near = [s for s in self.ready if s.line.zone == self.set.zone]
-        self.sharing = max(1.0, self.set.balancers / max(1, len({s.line.zone for s in self.ready})))
+        self.crowd.know(self.set.balancers, len(self.ready), len({s.line.zone for s in self.ready}))
 
     def _on_exclusion(self, now: float, event: Exclusion) -> None:
         """Leave a server out, or take it back: for all we know yet it was started anew a moment ago."""
@@ -331,19 +326,15 @@
         server.report, server.report_at = max(waits) * self.mean_work, now
         self.mean_report += (server.report - self.mean_report) * 0.05
 
-    def _homes(self, entry: Key, key: int) -> list[tuple[Server, int, bool]]:
+    def _homes(self, now: float, entry: Key, req: Request) -> list[Home]:
         """Return a key's homes by weighted stable hash: every balancer with the same list names the same."""
-        if entry.homes_at != self.list_count:
-            entry.homes_at, entry.homes = self.list_count, []
-            for near, group in ((True, self.near), (False, self.ready)):
-                if near and len(self.near) == len(self.ready):
-                    continue
-                drawn = [(math.log((mix(key ^ s.salt) + 1) / MASK)
-                          / (max(s.line.weight, 1e-3) * self.speeds.of(s.line.kind)), s.line.server)
-                         for s in group]
-                for rank, (_, number) in enumerate(nlargest(HOMES, drawn)):
-                    entry.homes.append((self.servers[number], rank, near))
-        return entry.homes
+        if self.places_at != self.list_count:
+            self.places_at = self.list_count
+            self.places.update(*([Place(s.salt, s.line.weight * self.speeds.of(s.line.kind), s.line.server)
+                                  for s in self.ready if s.line.zone in zones]
+                                 for zones in ({s.line.zone for s in self.ready}, {self.set.zone})))
+        crowd = self.crowd if self.set.balance else None
+        return entry.homes.of(now, req.key, req.is_write, self.places, crowd)
 
     def _crossing(self, server: Server, cls: RequestClass) -> float:
         """What leaving the zone costs, in ms: its price in worth, and a request's worth is its aim."""
@@ -357,16 +348,20 @@
     def _choose(self, now: float, tracked: Tracked, entry: Key | None) -> Server | None:
         """Return the server with the least (load + expected cost) / affinity, of a bounded set."""
         counted = self._counted(now, entry) if entry else {}
+        homes = self._homes(now, entry, tracked.req) if entry else []
+        if entry and entry.homes.spread:  # back to our part of its homes alone
+            counted = {home.number: counted[home.number] for home in homes if home.number in counted}
         idf = math.log(max(1.0, len(self.ready) / len(counted))) if counted else 0.0
         total = sum(count for count, _ in counted.values())
         floors: dict[int, tuple[float, int]] = {}
-        pays = (total + 1) * self.sharing * self.set.price_cross_zone * tracked.cls.aim >= self.guard.usual
-        for server, rank, near in self._homes(entry, tracked.req.key) if entry else ():
+        saves = (total + 1) * self.crowd.sharing * self.set.price_cross_zone * tracked.cls.aim
+        for number, rank, near in homes:
             # A copy more is a fetch more; it pays once not leaving the zone saves its routers as much.
-            if (near and not pays) or not self.fetches.copies.allows(tracked.req.key, rank, near):
+            allowed = self.fetches.copies.allows(tracked.req.key, rank, near)
+            if not allowed or (near and saves < self.guard.usual):
                 continue
             floor = max(HOME_FLOOR, total * idf if near else 0.0) * 0.5 ** rank
-            floors.setdefault(server.line.server, (floor, int(near)))
+            floors.setdefault(number, (floor, int(near)))
         sampled = (self.rng.choice(self.ready).line.server for _ in range(SAMPLED if self.ready else 0))
         for number in (*counted, *sampled):
             floors.setdefault(number, (FLOOR, -1))
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -30,6 +30,7 @@
     limits = {"concurrency", "core", "fetches", "learn", "origin", "ramp", "seconds", "speed", "trust",
               "work"}
     assert imported <= {"__future__", "math", "random", "collections", "heapq", "interface",
+                        *(f"balance.{name}" for name in ("homes", "hot", "key")),
                         *(f"limits.{name}" for name in limits)}
     for node in tree.body:
         if isinstance(node, ast.Assign):
