Mend what a second reading found: reloads, bounded loads, help asked on end, evenness

Cause, each seen by reading the whole change: policy._sort_out alone told the number of routers to what reckons with it, so a reload that changed it had no effect until the next list; after a platform's file that is no good the operator's one was read and not followed; BoundedHash rounded its bound down and then took the first server of the list, beyond it; ASK of a member about itself was sent to itself, and a flood of them was kept for a second; boxes that crashed or fell silent counted as idle in the evenness of a run.

--- a/starlingthread/__main__.py
+++ b/starlingthread/__main__.py
@@ -187,6 +187,7 @@
             self.counters.note("reloads.failed")
             self.router.telemetry.reconfig_failed += 1
             log.error("reload-failed", why=" ".join(str(error).split()))
+            self._follow_own()
             return
         new = new._replace(settings=self.own.over(new.settings))
         self.counters.note("reloads.done")
@@ -215,6 +216,12 @@
         self.own = new
         self.writer.set(new.log)
 
+    def _follow_own(self) -> None:
+        """Do what the operator's file says under the platform's settings that stand."""
+        self.config = self.config._replace(settings=self.own.over(self.config.settings))
+        self.router.retune(self.config.settings)
+        self.members.retune(self.own.membership, self.config.settings.can_tell_peers)
+
     def _collect(self) -> None:
         """Collect all garbage, now and then. It holds up every answer, so the longest time is kept."""
         began = self.router.clock.now()
--- a/starlingthread/emulator/boxes.py
+++ b/starlingthread/emulator/boxes.py
@@ -255,6 +255,7 @@
 
     def crash(self) -> None:
         """The process dies: connections are reset, new ones refused."""
+        self.event("gone")
         self._close_listener()
         self.thaw(drop=True)
         for connection in list(self.connections):
@@ -286,6 +287,7 @@
     def silence(self) -> None:
         """The machine is cut off: open connections go quiet, new ones never come up."""
         self.is_silent = True
+        self.event("gone")
         for connection in self.connections:
             connection.dead = True
             with contextlib.suppress(RuntimeError):
@@ -299,6 +301,7 @@
         for connection in list(self.connections):
             connection.cut()
         self.is_silent = False
+        self.event("up")
         await self.start()
 
     async def set_link(self, groups: list[int], figures: dict[str, float]) -> None:
--- a/starlingthread/emulator/faults.py
+++ b/starlingthread/emulator/faults.py
@@ -145,12 +145,8 @@
         if kind in FIGURES:
             for number in struck:
                 await stage.box_set(number, FIGURES[kind][0], strength)
-        elif kind in LINKS:
+        elif kind in LINKS or kind in ON_ROUTER_LINKS:
             await self._link(fault, struck, True)
-        elif kind == "discovery-cut":
-            stage.cut_discovery(set(struck), True)
-        elif kind == "peers-cut":
-            stage.split_peers(set(struck), True)
         elif kind == "heavy-tail":
             for number in struck:
                 await stage.box_set(number, "tail_share", fault.share)
@@ -200,12 +196,8 @@
         if kind in FIGURES:
             for number in struck:
                 await stage.box_set(number, *FIGURES[kind])
-        elif kind in LINKS:
+        elif kind in LINKS or kind in ON_ROUTER_LINKS:
             await self._link(fault, struck, False)
-        elif kind == "discovery-cut":
-            stage.cut_discovery(set(struck), False)
-        elif kind == "peers-cut":
-            stage.split_peers(set(struck), False)
         elif kind == "heavy-tail":
             for number in struck:
                 await stage.box_set(number, "tail_share", 0.0)
@@ -232,7 +224,11 @@
                 stage.signal_router(number, signal.SIGCONT)
 
     async def _link(self, fault: Fault, struck: tuple[int, ...], begins: bool) -> None:
-        """Set what is wrong with the links between some boxes and some groups of routers."""
+        """Set what is wrong with the links between some routers and boxes, discovery or one another."""
+        if fault.kind == "discovery-cut":
+            return self.stage.cut_discovery(set(struck), begins)
+        if fault.kind == "peers-cut":
+            return self.stage.split_peers(set(struck), begins)
         figures: dict[str, float] = {LINKS[fault.kind]: fault.strength if begins else 0.0}
         if fault.kind == "link-cut":
             figures = {"cut_in": begins and fault.way != "from-box", "cut_out": begins and fault.way != "to-box"}
--- a/starlingthread/lab/policies.py
+++ b/starlingthread/lab/policies.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import mmap
 import os
 from pathlib import Path
@@ -67,8 +68,8 @@
     """The first home that has no more of this router's requests out than its bound."""
 
     def pick(self, now: float, tracked: Tracked, servers: list[Server]) -> Server:
-        most = BOUND * (sum(s.out for s in servers) + 1) / len(servers)
-        return next((s for s in self.ranked(tracked, servers) if s.out + 1 <= max(1.0, most)), servers[0])
+        most = math.ceil(BOUND * (sum(s.out for s in servers) + 1) / len(servers))  # so one has room at any time
+        return next(s for s in self.ranked(tracked, servers) if s.out < most)
 
 
 class TwoChoices(Other):
--- a/starlingthread/load/evenness.py
+++ b/starlingthread/load/evenness.py
@@ -1,7 +1,7 @@
 """How evenly the boxes of a run were loaded, from what each was sent and when.
 
 A box's part of the load is its speed's share of all speeds in service. A box counts while it is in service and warm:
-from the run's warm-up, and not from its drain or fall until its ramp is over.
+from the run's warm-up, and not from its drain, fall or loss until it is back and its ramp is over.
 """
 
 from __future__ import annotations
@@ -50,8 +50,10 @@
     serving = np.ones((scenario.fleet.boxes, bins), dtype=bool)
     for event in sorted(ledger.boxes, key=lambda e: e.at):
         at = max(0, int((event.at - begin) // BIN))
-        if event.what in ("fell", "draining"):
+        if event.what in ("fell", "draining", "gone"):
             serving[event.box, at:] = False
+        elif event.what == "up":
+            serving[event.box, at:] = True
         elif event.what == "cold" and event.at > ledger.started_at:
             serving[event.box, at:] = False
             serving[event.box, at + int(scenario.fleet.cold_ms // BIN) + 1:] = True
--- a/starlingthread/membership/swim.py
+++ b/starlingthread/membership/swim.py
@@ -19,7 +19,7 @@
 from random import Random
 from typing import NamedTuple
 
-from .wire import MAX_INCARNATION, MOST_NEWS, Kind, Message, News, State, WireError, decode, encode
+from .wire import MAX_INCARNATION, MOST_NEWS, VERSION, Kind, Message, News, State, WireError, decode, encode
 
 PERIOD = 1000.0  # between two probes of this member
 ANSWER = 0.3  # of the period, for a direct answer; the rest is for the indirect ones
@@ -29,6 +29,7 @@
 DEAD_EVERY = 8  # periods between pings of the dead
 STOOD_STILL = 0.5  # of a period by which a tick is late: we stood still
 AHEAD = 3600.0  # s by which an incarnation may be ahead of our clock: it begins with the time, and rises by one
+MOST_HELPED = 64  # pings for others whose answers are waited for
 MOST_DOUBT = 8  # of ourselves; periods and waits are so many times longer, plus one
 
 
@@ -140,7 +141,6 @@
     def _next(self, now: float) -> None:
         self._turn += 1
         target = self._drawn()
-        self._for = {number: asked for number, asked in self._for.items() if number > self._number - 64}
         if target is None:
             self.due = now + self.period
             return
@@ -187,6 +187,11 @@
 
     # datagrams
 
+    @staticmethod
+    def is_meant(data: bytes) -> bool:
+        """Tell whether a datagram is of this kind, good or not; others go elsewhere."""
+        return data[:1] == VERSION.to_bytes()
+
     def receive(self, now: float, sender: int, data: bytes) -> None:
         """Take in a datagram that came from a member's address; one that is no good is counted and changes nothing."""
         try:
@@ -207,10 +212,7 @@
         if message.kind == Kind.PING:
             self._tell(sender, Kind.ACK, message.number)
         elif message.kind == Kind.ASK:
-            self._number += 1
-            self._for[self._number] = (sender, message.number)
-            self._tell(sender, Kind.ASKED, message.number)
-            self._tell(message.subject, Kind.PING, self._number)
+            self._help(sender, message)
         elif message.kind == Kind.ACK and message.number in self._for:
             asker, number = self._for.pop(message.number)
             self._tell(asker, Kind.HEARD, number, sender)
@@ -223,6 +225,17 @@
             self.doubt = max(0, self.doubt - 1)
             self.due = max(now, probe.sent_at + self.period * self._wait())
 
+    def _help(self, asker: int, message: Message) -> None:
+        """Ping a member for another one."""
+        if message.subject in (self.me, asker):
+            return  # nobody asks that
+        if len(self._for) >= MOST_HELPED:
+            del self._for[next(iter(self._for))]  # the oldest: its answer comes no more
+        self._number += 1
+        self._for[self._number] = (asker, message.number)
+        self._tell(asker, Kind.ASKED, message.number)
+        self._tell(message.subject, Kind.PING, self._number)
+
     def _tell(self, to: int, kind: Kind, number: int, subject: int = 0) -> None:
         self._send(to, encode(Message(kind, self.me, number & 0xFFFFFFFF, subject, self._news(to)), self.keys[0]))
 
--- a/starlingthread/net/members.py
+++ b/starlingthread/net/members.py
@@ -93,8 +93,7 @@
 
     def _received(self, sender: int, data: bytes) -> bool:
         """Take a datagram if it is of the membership's kind."""
-        from ..membership.wire import VERSION
-        if self.membership is None or data[:1] != bytes([VERSION]):
+        if self.membership is None or not self.membership.is_meant(data):
             return False
         self.membership.receive(self.router.clock.now(), sender, data)
         self._told()
--- a/starlingthread/policy.py
+++ b/starlingthread/policy.py
@@ -148,7 +148,6 @@
         self.work = {c.name: self.work.get(c.name) or Work(c.aim * 0.1) for c in classes}
         self.through = settings.mode == "through"  # servers fetch what they lack
         self.least_worth = max(1e-6, min(c.worth for c in classes))
-        self.list_count += 1  # homes are drawn anew
         self.keep_shut = 3 * max(c.deadline + c.memory_span for c in classes)
 
     def start(self, now: float) -> list[Action]:
@@ -181,6 +180,7 @@
             self._on_exclusion(now, event)
         elif isinstance(event, Retuned):
             self._tune(event.settings)
+            self._sort_out()
         elif not isinstance(event, PeerMessage):
             raise TypeError(f"not an event: {event!r}")
         return self._flush()
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -136,3 +136,10 @@
     away = {world.read(7) for _ in range(60)}
     plain = World(THROUGH._replace(balancers=100, me=3), members(24))
     assert before[0] == plain.read(7) != before[-1] and before[-1] in away
+
+
+def test_a_fleet_that_grew_by_a_reload_counts_at_once() -> None:
+    world = World(THROUGH._replace(balance=True), members(24, zones=3))
+    world.do(Retuned(world.set._replace(balancers=90)))
+    crowd = world.balancer.crowd
+    assert (crowd.routers, crowd.servers, crowd.sharing) == (90, 24, 30.0)
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -106,6 +106,16 @@
     until("reloaded")
     router.send_signal(signal.SIGHUP)
     assert " INFO reloaded discovery=" in until("reloaded")
+    # The operator's file counts whatever the platform's is like; this router may tell nobody, and says so.
+    config["settings"]["permissions"]["peerMessages"] = False
+    (tmp_path / "r0.json").write_text(json.dumps(config))
+    router.send_signal(signal.SIGHUP)
+    until("reloaded")
+    (tmp_path / "r0.json").write_text("{")
+    own.write_text("[membership]\nenabled = true\n")
+    router.send_signal(signal.SIGHUP)
+    until("reload-failed")
+    assert "not allowed" in until("members-off")
     began = time.monotonic()
     router.send_signal(signal.SIGTERM)
     assert router.wait(10) == 0 and time.monotonic() - began < 5
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -161,6 +161,17 @@
     assert decode(encode(Message(Kind.ACK, 1, 5), OTHER), (KEY, OTHER), 3).kind == Kind.ACK  # while keys change
 
 
+def test_who_asks_for_help_on_end_fills_no_memory_and_asks_for_nobody_in_vain() -> None:
+    net = Net(4)
+    for number in range(1000):
+        net.members[0].receive(BEGIN, 1, encode(Message(Kind.ASK, 1, number, 2), KEY))
+    assert len(net.members[0]._for) <= 64
+    before = net.sent
+    for subject in (0, 1):
+        net.members[0].receive(BEGIN, 1, encode(Message(Kind.ASK, 1, 5, subject), KEY))
+    assert net.sent == before
+
+
 @given(st.binary(max_size=300))
 def test_no_bytes_raise_anything_but_a_wire_error(data: bytes) -> None:
     with pytest.raises(WireError):
--- a/tests/test_stage.py
+++ b/tests/test_stage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 from collections.abc import Callable
 
@@ -16,8 +17,12 @@
 from starlingthread.emulator.boxes import BoxServer, LoopSchedule
 from starlingthread.emulator.ports import free_port
 from starlingthread.emulator.records import BoxEvent, BoxSample, Delivery, Ledger, Try
+from starlingthread.interface import ListKind, MemberList, Request
+from starlingthread.lab.policies import BoundedHash
 from starlingthread.load import evenness, traffic
 
+from .world import THROUGH, World, members, sends
+
 BASE = scenario.Scenario("stage")
 
 
@@ -187,9 +192,10 @@
         count = int(3000 * speed)
         ledger.deliveries += [Delivery("x", box, at, at) for at in rng.uniform(0, 32000.0, count)
                               if box != 1 or not 8000.0 < at < 20000.0]
-    ledger.boxes = [BoxEvent(1, "draining", 8000.0), BoxEvent(1, "cold", 19000.0)]
-    found = evenness.measure(spec, ledger)
-    assert found is not None and found.idle_boxes == 0 and found.busiest_10s < 1.15
+    for away, back in (("draining", "cold"), ("gone", "cold"), ("gone", "up")):
+        ledger.boxes = [BoxEvent(1, away, 8000.0), BoxEvent(1, back, 19000.0 if back == "cold" else 20000.0)]
+        found = evenness.measure(spec, ledger)
+        assert found is not None and found.idle_boxes == 0 and found.busiest_10s < 1.15
 
 
 def test_homes_differ_where_two_routers_use_other_boxes_for_a_key() -> None:
@@ -201,3 +207,13 @@
             ledger.deliveries.append(Delivery(f"{router}-{n}", box, 5000.0, 5000.0))
     found = evenness.measure(spec, ledger)
     assert found is not None and found.homes_differ == pytest.approx(2 / 3, abs=1e-3)
+
+
+def test_hash_with_bounded_loads_keeps_its_bound_and_always_has_a_server() -> None:
+    world = World(THROUGH, members(6))
+    bounded = BoundedHash(world.set, 1)
+    bounded.handle(0.0, MemberList(ListKind.FULL, 1, members(6)[:6]))
+    for asked in range(1, 61):
+        assert sends(bounded.handle(1.0, Request(asked, 0, 1000.0, key=7)))
+        most = max(server.out for server in bounded.ready)
+        assert most <= math.ceil(1.25 * asked / 6)
