Leave a lost zone alone in common, if the operator's file turns it on

Change: failover/ (topology, evidence of one router, words of fifteen witnesses, the plan that follows from them, datagrams of at most 256 bytes), net/failover.py, [failover] in the operator's file; the module skips zones that are left alone.

Nine processes, a zone dark for 4 s, a router killed meanwhile: all leave it and take it back; a one-way cut that one zone's routers see changes no plan.

--- a/starlingthread/__main__.py
+++ b/starlingthread/__main__.py
@@ -25,6 +25,7 @@
 from .limits.room import share_out
 from .logs import LogWriter, log
 from .net.clients import Front
+from .net.failover import FailoverActor
 from .net.management import Management
 from .net.members import MemberActor
 from .net.peers import PeerActor
@@ -75,6 +76,7 @@
             self.router, ListReader(config.zones, config.kinds), config.discovery, self.watcher)
         self.peers = PeerActor(self.router, config.peers, config.peers_all, config.settings.me)
         self.members = MemberActor(self.router, self.peers, config.settings.me)
+        self.failover = FailoverActor(self.router, self.peers, self.members, config.settings.me)
         self.front = Front(
             config.settings, self.router, self.watcher, 0, 0, 0, self.listed)
         self.fleet.room = self.front.room
@@ -104,6 +106,7 @@
         """A new process takes the connections from now on."""
         self.front.give_way()
         self.members.pause()
+        self.failover.stop()
         self.peers.give_way()
 
     def resume(self) -> None:
@@ -115,6 +118,7 @@
         await self.front.resume()
         await self.peers.resume()
         self.members.retune(self.own.membership, self.config.settings.can_tell_peers)
+        self._retune_failover()
 
     def _inherited(self, use: str, address: tuple[str, int]) -> socket.socket | None:
         left = self.handover.inheritance
@@ -131,7 +135,8 @@
     def figures(self) -> dict[str, object]:
         """Return the figures that operators read."""
         down = len(self.router.module.avoided(self.router.clock.now()))
-        return {**self.router.telemetry.report(self.registry.listed, down), **self.members.figures()}
+        return {**self.router.telemetry.report(self.registry.listed, down), **self.members.figures(),
+                **self.failover.figures()}
 
     def exclude(self, name: str) -> bool:
         """Leave a cache server out; False if the list has none of that name."""
@@ -200,6 +205,7 @@
         self.registry.move(new.discovery)
         self.peers.move(new.peers, new.peers_all)
         self.members.retune(self.own.membership, new.settings.can_tell_peers)
+        self._retune_failover(new)
         kept = [name for name in NEEDS_RESTART if getattr(new, name) != getattr(self.config, name)]
         self.config = new._replace(**{name: getattr(self.config, name) for name in kept})
         log.info("reloaded", discovery=f"{new.discovery[0]}:{new.discovery[1]}",
@@ -216,11 +222,16 @@
         self.own = new
         self.writer.set(new.log)
 
+    def _retune_failover(self, config: Config | None = None) -> None:
+        config = config or self.config
+        self.failover.retune(self.own.failover, self.own.membership, config.zones, config.settings.can_tell_peers)
+
     def _follow_own(self) -> None:
         """Do what the operator's file says under the platform's settings that stand."""
         self.config = self.config._replace(settings=self.own.over(self.config.settings))
         self.router.retune(self.config.settings)
         self.members.retune(self.own.membership, self.config.settings.can_tell_peers)
+        self._retune_failover()
 
     def _collect(self) -> None:
         """Collect all garbage, now and then. It holds up every answer, so the longest time is kept."""
@@ -254,6 +265,7 @@
         if (peers := self.config.peer_listen) is not None:
             await self.peers.listen(*peers, self._inherited(PEERS, peers))
             self.members.retune(self.own.membership, self.config.settings.can_tell_peers)
+        self._retune_failover()
         listen = self.config.listen
         await self.front.listen(*listen, self._inherited(CLIENTS, listen))
         if self.handover.inheritance is not None:
@@ -281,6 +293,7 @@
         self.management.close()
         self.fleet.close()
         self.members.stop()
+        self.failover.stop()
         self.peers.close()
         await self.watcher.stop()
         self.summary()
--- /dev/null
+++ b/starlingthread/failover/plan.py
@@ -0,0 +1,162 @@
+"""One plan for the fleet, without a leader: which zones all leave alone, out of what the routers tell one another.
+
+A few routers are the witnesses of a zone, the same ones at everybody's reckoning: those with the greatest hash of zone
+and number. While all is well nobody says anything. Once a witness sees the zone as lost it tells all others, and then
+the other witnesses say what they see: lost, or well. A word has a number that only its witness raises, so the newest
+wins whatever the order in which words come, and an old one never comes back. The plan is reckoned from the words alone:
+whoever has heard the same words has the same plan.
+
+A zone is lost once most of the witnesses with something to say call it that, and at least two do: one liar moves
+nothing, nor does a router whose own link is cut, as nobody carries the words of others. A word is good for some time
+only, so that the word of a router that stands still or is cut off runs out.
+
+Coming back is damped: the zone is left alone the longer the more often it was lost lately, and then has a share of the
+keys that grows in steps, the same keys at all routers, as what comes back asks the origin for what it lost.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from enum import IntEnum
+from typing import NamedTuple
+
+from ..balance.homes import MASK, mix
+
+WITNESSES = 15  # of a zone; odd, so that two halves do not tie
+LEAST_WORDS = 2  # that call a zone lost
+LIFE = 3000.0  # ms for which a word is good
+AGAIN = LIFE / 3  # ms after which its witness tells it anew while the zone is in question: two in a row may be lost
+HOLD = 500.0  # ms for which a zone that is well again is left alone, doubled for each further loss in the last minute
+MOST_HOLD = 30000.0
+REMEMBERED = 60000.0  # ms for which a loss counts
+STEPS = 8  # in which the keys come back
+STEP = 250.0  # ms
+AHEAD = 3600e3  # ms by which a number may be ahead of our clock: it is the time of the wall clock, or one more
+
+
+class Says(IntEnum):
+    """What a witness says of a zone."""
+
+    WELL = 1
+    LOST = 2
+
+
+class Word(NamedTuple):
+    """What a witness says, with its own number for the order in which it said so."""
+
+    witness: int
+    zone: int
+    says: Says
+    number: int
+
+
+class Change(NamedTuple):
+    """The plan has changed: for a line in the log."""
+
+    zone: int
+    lost: bool
+    lost_words: int
+    words: int
+
+
+def witnesses(zone: int, members: Iterable[int]) -> list[int]:
+    """Return the witnesses of a zone among the members, the same at whoever knows the same members."""
+    return sorted(members, key=lambda member: (mix(mix(zone + 1) ^ mix(member + 1)), member), reverse=True)[:WITNESSES]
+
+
+class ZonePlan:
+    """What is held of one zone that was in question at some time."""
+
+    __slots__ = ("losses", "lost", "until")
+
+    def __init__(self) -> None:
+        self.lost = False
+        self.losses: list[float] = []  # when it was lost, in the last minute
+        self.until = -math.inf  # when the first keys come back
+
+    def share(self, now: float) -> float:
+        """Return the share of keys that the zone may have."""
+        if self.lost or now < self.until:
+            return 0.0
+        return min(1.0, (1 + math.floor(min(now - self.until, STEPS * STEP) / STEP)) / STEPS)
+
+    def turn(self, now: float, lost: bool) -> None:
+        """Take it for lost, or for well again."""
+        self.lost = lost
+        self.losses = [at for at in self.losses if now - at < REMEMBERED] + [now] * lost
+        if not lost:
+            self.until = now + min(MOST_HOLD, HOLD * (1 << min(16, max(0, len(self.losses) - 1))))
+
+
+class Plan:
+    """One router's view of the words, and the plan that follows from them."""
+
+    def __init__(self, me: int, members: Iterable[int]) -> None:
+        self.me = me
+        self.words: dict[tuple[int, int], tuple[Word, float]] = {}  # by zone and witness, with when we took it in
+        self.zones: dict[int, ZonePlan] = {}
+        self.changes: list[Change] = []  # taken out by who shows them
+        self._number = 0  # of our last word
+        self.know(members)
+
+    def know(self, members: Iterable[int]) -> None:
+        """Take in which routers live; the words of others count no more."""
+        self.members = frozenset(members) | {self.me}
+        self._chosen: dict[int, frozenset[int]] = {}
+
+    def chosen(self, zone: int) -> frozenset[int]:
+        """Return the witnesses of a zone."""
+        if zone not in self._chosen:
+            self._chosen[zone] = frozenset(witnesses(zone, self.members))
+        return self._chosen[zone]
+
+    def is_in_question(self, now: float, zone: int) -> bool:
+        """Tell whether anybody calls a zone lost, or all have left it alone."""
+        plan = self.zones.get(zone)
+        return (plan is not None and plan.lost) or any(w.says == Says.LOST for w in self.good(now, zone))
+
+    def good(self, now: float, zone: int) -> list[Word]:
+        """Return the words on a zone that count: of its living witnesses, and not too old."""
+        chosen = self.chosen(zone)
+        return [word for (z, who), (word, at) in self.words.items() if z == zone and who in chosen and now - at < LIFE]
+
+    def say(self, now: float, zone: int, says: Says | None) -> Word | None:
+        """Say what we see of a zone (None: nothing lately); return the word if it is to be told to all."""
+        old = self.words.get((zone, self.me))
+        if says is None or self.me not in self.chosen(zone):
+            self.words.pop((zone, self.me), None)
+            return None
+        if old is not None and old[0].says == says and now - old[1] < AGAIN:
+            return None
+        if says == Says.WELL and not self.is_in_question(now, zone):
+            return None
+        self._number = max(self._number + 1, int(now))  # so a router that was started anew outdoes its old words
+        word = Word(self.me, zone, says, self._number)
+        self.words[zone, self.me] = (word, now)
+        return word
+
+    def hear(self, now: float, word: Word) -> bool:
+        """Take in a word from its witness; tell whether it is news. now: ms of the wall clock."""
+        old = self.words.get((word.zone, word.witness))
+        if word.witness == self.me or word.number > now + AHEAD or (old is not None and old[0].number >= word.number):
+            return False
+        self.words[word.zone, word.witness] = (word, now)
+        return True
+
+    def decide(self, now: float, zone: int) -> None:
+        """Reckon the plan for a zone anew. Who hears no word leaves no zone alone for the fleet."""
+        words = self.good(now, zone)
+        lost_words = sum(word.says == Says.LOST for word in words)
+        lost = lost_words >= LEAST_WORDS and 2 * lost_words > len(words)
+        plan = self.zones.get(zone)
+        if plan is None and lost:
+            plan = self.zones[zone] = ZonePlan()
+        if plan is not None and plan.lost != lost:
+            plan.turn(now, lost)
+            self.changes.append(Change(zone, lost, lost_words, len(words)))
+
+    def is_open(self, now: float, zone: int, key: int) -> bool:
+        """Tell whether a key (a 64-bit hash) may go to a zone now, by the plan."""
+        plan = self.zones.get(zone)
+        return plan is None or mix(key ^ mix(zone + 1)) < plan.share(now) * MASK
--- /dev/null
+++ b/starlingthread/failover/zones.py
@@ -0,0 +1,128 @@
+"""What the decision module asks: may this key go to that zone now? From the fleet's plan, and from what we see.
+
+A zone that this router alone can't see it leaves alone as well, whatever the plan: it spills no more than its own part
+then. Who finds out that a zone is back: while the plan has it lost, its witnesses, one request each in a while; else
+every router that left it alone by itself.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+from ..interface import Result
+from .evidence import ZoneSeen
+from .plan import Change, Plan, Says, Word
+from .topology import Topology
+
+TRY_EVERY = 250.0  # ms between requests that a router risks in a zone that it leaves alone
+MOST_TRY = 4000.0  # ms; the pause is doubled with each that comes to nothing
+SILENT = (Result.TIMEOUT, Result.CONNECT_FAILED)
+FRESH = 3000.0  # ms for which a word from a zone shows that it is there
+
+
+class Zones:
+    """One router's evidence and plan."""
+
+    def __init__(self, me: int, members: Iterable[int]) -> None:
+        self.plan = Plan(me, members)
+        self.topology = Topology((), {})
+        self.far = 0.0  # ms that it takes longer, there and back, in another region
+        self.closed: frozenset[int] = frozenset()  # by operators
+        self.seen: dict[int, ZoneSeen] = {}
+        self.sizes: dict[int, int] = {}  # listed servers by zone
+        self.telling: list[Word] = []  # taken out by who tells them to all
+        self._shut: dict[int, tuple[float, float]] = {}  # left alone by ourselves: when to try next, and the pause
+
+    def listed(self, zones: Iterable[int]) -> None:
+        """Take in the zone of each server that is ready."""
+        self.sizes = {}
+        for zone in zones:
+            self.sizes[zone] = self.sizes.get(zone, 0) + 1
+
+    def heard(self, now: float, zone: int) -> None:
+        """Take in a word from any server of a zone."""
+        self._of(zone).heard(now)
+        if self._shut.pop(zone, None) is not None or zone in self.plan.zones:
+            self._say(now, zone)
+
+    def ended(self, now: float, zone: int, server: int, result: Result, sent_at: float) -> None:
+        """Take in how an attempt ended."""
+        if result in SILENT:
+            self.owes(now, zone, server, sent_at)
+        elif result not in (Result.CANCELLED, Result.MOOT):
+            self.heard(now, zone)
+
+    def owes(self, now: float, zone: int, server: int, sent_at: float) -> None:
+        """Take in that what was sent to a server then stayed without an answer or found no connection."""
+        seen = self._of(zone)
+        seen.owes(server, sent_at)
+        if seen.is_lost(self.sizes.get(zone, 0)):
+            self._shut.setdefault(zone, (now + TRY_EVERY, TRY_EVERY))
+            self._say(now, zone)
+
+    def _of(self, zone: int) -> ZoneSeen:
+        return self.seen.setdefault(zone, ZoneSeen())
+
+    def is_open(self, now: float, zone: int, key: int) -> bool:
+        """Tell whether a request for a key (a 64-bit hash) may go to a zone now, be it to find out if it is back.
+
+        Where all zones would be left alone none is: then it is we who see nothing, or nothing is better than the rest.
+        """
+        return self._may(now, zone, key) or not any(self._may(now, other, key) for other in self.sizes)
+
+    def cost(self, here: int, there: int) -> float:
+        """Return the ms that a request takes longer for leaving the region."""
+        return self.far if self.topology.step(here, there) > 1 else 0.0
+
+    def _may(self, now: float, zone: int, key: int) -> bool:
+        if zone in self.closed:
+            return False
+        if zone in self._shut:
+            return now >= self._shut[zone][0]
+        if self.plan.is_open(now, zone, key):
+            return True
+        return self.plan.zones[zone].lost and self.plan.me in self.plan.chosen(zone)
+
+    def sent(self, now: float, zone: int) -> None:
+        """Take in that a request goes to a zone: if that is left alone, the next one waits for longer."""
+        plan = self.plan.zones.get(zone)
+        if zone in self._shut or (plan is not None and plan.lost):
+            _, pause = self._shut.get(zone, (now, TRY_EVERY))
+            self._shut[zone] = (now + pause, min(MOST_TRY, 2 * pause))
+
+    # what is told and heard
+
+    def _say(self, now: float, zone: int) -> None:
+        seen = self._of(zone)
+        lost = seen.is_lost(self.sizes.get(zone, 0))
+        says = Says.LOST if lost else Says.WELL if now - seen.heard_at < FRESH else None
+        if (word := self.plan.say(now, zone, says)) is not None:
+            self.telling.append(word)
+        self.plan.decide(now, zone)
+
+    def hear(self, now: float, words: Iterable[Word]) -> None:
+        """Take in the words of another router, and say what we see of the same zones."""
+        for word in words:
+            if self.plan.hear(now, word):
+                self._say(now, word.zone)
+
+    def tick(self, now: float) -> None:
+        """Do what time brings, a few times a second: words run out, and are told again while a zone is in question."""
+        for zone in {zone for zone, _ in self.plan.words} | set(self.plan.zones) | set(self._shut):
+            self._say(now, zone)
+
+    def know(self, members: Iterable[int]) -> None:
+        """Take in which routers live."""
+        self.plan.know(members)
+
+    def changes(self) -> list[Change]:
+        """Return what has changed in the plan since it was asked last."""
+        done, self.plan.changes = self.plan.changes, []
+        return done
+
+    def state(self, now: float) -> dict[int, float]:
+        """Return for each zone that is not wholly open the share of keys that it may have."""
+        shares = {zone: plan.share(now) for zone, plan in self.plan.zones.items()}
+        return {zone: share for zone, share in {**shares, **dict.fromkeys(self._shut, 0.0)}.items()
+                if share < 1 and not math.isnan(share)}
--- a/starlingthread/lab/policies.py
+++ b/starlingthread/lab/policies.py
@@ -83,14 +83,14 @@
     """Of two drawn at random the one whose last report tells less load."""
 
     def pick(self, now: float, tracked: Tracked, servers: list[Server]) -> Server:
-        return min(self.rng.choice(servers), self.rng.choice(servers), key=lambda s: s.report)
+        return min(self.rng.choice(servers), self.rng.choice(servers), key=lambda s: s.seen.report)
 
 
 class LeastReported(Other):
     """The one whose last report tells least: with stale figures all routers go to the same one (Mitzenmacher 2000)."""
 
     def pick(self, now: float, tracked: Tracked, servers: list[Server]) -> Server:
-        return min(servers, key=lambda s: (s.report, s.line.server))
+        return min(servers, key=lambda s: (s.seen.report, s.line.server))
 
 
 class Truth(Balancer):
--- a/starlingthread/membership/wire.py
+++ b/starlingthread/membership/wire.py
@@ -61,15 +61,22 @@
     news: tuple[News, ...] = ()
 
 
-def _tag(body: bytes, key: bytes) -> bytes:
+def sign(body: bytes, key: bytes) -> bytes:
+    """Return the tag of a datagram's body; without a key it is a checksum only."""
     return hashlib.blake2b(body, digest_size=TAG, key=key).digest()
 
 
+def check(body: bytes, tag: bytes, keys: tuple[bytes, ...]) -> None:
+    """Raise a WireError unless the tag was made with one of the keys."""
+    if not any(hmac.compare_digest(sign(body, key), tag) for key in keys):
+        raise WireError("key")
+
+
 def encode(message: Message, key: bytes) -> bytes:
     """Return the bytes of a datagram; news beyond what it holds is left out."""
     body = HEAD.pack(VERSION, message.kind, message.sender, message.number & 0xFFFFFFFF, message.subject)
     body += b"".join(PIECE.pack(*piece) for piece in message.news[:MOST_NEWS])
-    return body + _tag(body, key)
+    return body + sign(body, key)
 
 
 def decode(data: bytes, keys: tuple[bytes, ...], members: int) -> Message:
@@ -79,8 +86,7 @@
     body, tag = data[:-TAG], data[-TAG:]
     if body[0] != VERSION:
         raise WireError("version")
-    if not any(hmac.compare_digest(_tag(body, key), tag) for key in keys):
-        raise WireError("key")
+    check(body, tag, keys)
     _, kind, sender, number, subject = HEAD.unpack_from(body)
     try:
         news = tuple(News(member, State(state), incarnation)
--- a/starlingthread/net/members.py
+++ b/starlingthread/net/members.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,7 @@
 if TYPE_CHECKING:  # else only once it is on: who does without it pays nothing for it
     from ..membership.swim import Membership
 
+VERSION = 0xA1  # first byte of the membership's datagrams, as in membership/wire.py
 LEAST_KEY = 16  # bytes
 MOST_KEY = 64  # bytes, what BLAKE2b takes
 NAMES = ("member-up", "member-suspected", "member-down")  # by membership.wire.State
@@ -45,6 +47,11 @@
         self.membership: Membership | None = None
         self._own = Members()
         self._due: Deadline | None = None
+        self.on_change: Callable[[], None] = lambda: None  # called when somebody is held dead or alive again
+
+    def alive(self) -> list[int]:
+        """Return the routers that live, as far as we know; all, while the membership is off."""
+        return self.membership.alive() if self.membership is not None else list(range(len(self.peers.peers)))
 
     def retune(self, own: Members, allowed: bool) -> None:
         """Turn it on or off, or go over to other keys; a key that is no good leaves all as it was."""
@@ -68,7 +75,7 @@
             self.membership = Membership(self.me, count, keys, self.router.module.rng.randrange(1 << 30),
                                          self.peers.tell, own.period_ms)
             self.membership.start(self.router.clock.now())
-            self.peers.members = self._received
+            self.peers.takers[VERSION] = self._received
             self._set()
         else:
             self.membership.keys = keys
@@ -82,7 +89,8 @@
     def pause(self) -> None:
         """Say and hear no more: another process of ours does."""
         self.router.deadlines.clear(self._due)
-        self.membership, self.peers.members, self._due = None, None, None
+        self.peers.takers.pop(VERSION, None)
+        self.membership, self._due = None, None
 
     def figures(self) -> dict[str, object]:
         """Return what operators read; nothing while it is off."""
@@ -91,13 +99,10 @@
         return {"members_alive": len(self.membership.alive()), "members": self.membership.members,
                 "member_doubt": self.membership.doubt, "member_refused": sum(self.membership.refused.values())}
 
-    def _received(self, sender: int, data: bytes) -> bool:
-        """Take a datagram if it is of the membership's kind."""
-        if self.membership is None or not self.membership.is_meant(data):
-            return False
-        self.membership.receive(self.router.clock.now(), sender, data)
-        self._told()
-        return True
+    def _received(self, sender: int, data: bytes) -> None:
+        if self.membership is not None:
+            self.membership.receive(self.router.clock.now(), sender, data)
+            self._told()
 
     def _tick(self) -> None:
         if self.membership is not None:
@@ -113,6 +118,8 @@
         assert self.membership is not None
         changes, self.membership.changes = self.membership.changes, []
         alive = len(self.membership.alive())
+        if changes:
+            self.on_change()
         for change in changes:
             log.info(NAMES[change.state], router=change.member, alive=alive, of=self.membership.members)
         self._set()
--- a/starlingthread/net/peers.py
+++ b/starlingthread/net/peers.py
@@ -22,7 +22,7 @@
         self.move(peers, everyone)
         self.transport: asyncio.DatagramTransport | None = None
         self.socket: socket.socket | None = None  # ours for good, whether we hear or not
-        self.members: Callable[[int, bytes], bool] | None = None  # takes what is the membership's
+        self.takers: dict[int, Callable[[int, bytes], None]] = {}  # by the first byte; the rest is the module's
 
     def move(self, peers: list[tuple[str, int]], everyone: tuple[str, int] | None) -> None:
         """Take over the addresses of the others."""
@@ -57,8 +57,9 @@
         sender = self.number.get((addr[0], addr[1]))
         if sender is None or len(data) > MAX_MESSAGE or sender == self.me:
             self.counters.note("peers.stray")
-        elif self.members is not None and self.members(sender, data):
-            self.counters.note("peers.members")
+        elif data and (take := self.takers.get(data[0])) is not None:
+            self.counters.note("peers.taken")
+            take(sender, data)
         elif self.router.mailbox.put(api.PeerMessage(sender, data)):
             self.counters.note("peers.received")
 
--- a/starlingthread/options.py
+++ b/starlingthread/options.py
@@ -45,12 +45,22 @@
     old_key_file: str = ""  # good as well while keys are changed
 
 
+class Failover(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """What the routers do in common about a zone that is lost. Needs messages between them for more than each alone."""
+
+    enabled: bool = False
+    regions: dict[str, list[str]] = {}  # zones by region; a zone that stands in none is a region of its own
+    far_ms: Annotated[float, msgspec.Meta(ge=0.0, le=10000.0)] = 0.0  # there and back, between two regions
+    closed: list[str] = []  # zones that operators leave alone, whatever is seen of them
+
+
 class Options(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """The whole file."""
 
     log: Log = Log()
     balance: Balance = Balance()
     membership: Members = Members()
+    failover: Failover = Failover()
 
     def over(self, settings: Settings) -> Settings:
         """Return the platform's settings with what this file turns on in the module."""
--- a/starlingthread/policy.py
+++ b/starlingthread/policy.py
@@ -10,6 +10,7 @@
 from collections import OrderedDict
 from heapq import heappop, heappush
 from random import Random
+from typing import TYPE_CHECKING
 
 from .interface import (
     NEVER_RAN, Action, Cancel, Effect, Event, Exclusion, Fail, FirstByte, ListKind, Member, MemberList, Note,
@@ -18,6 +19,7 @@
 )
 from .balance.hot import Crowd
 from .balance.key import KeyHomes
+from .balance.view import CORES, Seen, Views
 from .balance.homes import MASK, Home, Homes, Place, mix
 from .limits.concurrency import Concurrency
 from .limits.core import OwnCore
@@ -31,6 +33,9 @@
 from .limits.trust import Trust
 from .limits.work import Work
 
+if TYPE_CHECKING:  # else only once it is on
+    from .failover.zones import Zones
+
 HALF_LIFE = 10000.0  # ms; a count halves in this time: about as long as a cache keeps what nobody asks for
 FLOOR = 0.1  # affinity of a server without a count; far under one count's log(N)
 HOME_FLOOR = 1.0  # affinity of an uncounted key's first homes, halved for each rank after; under one count's
@@ -39,11 +44,7 @@
 PRIOR = (0.8, 0.5)  # first guesses of the cached chance at an uncounted home: in the fleet, in our zone
 MAX_KEYS = 20000  # keys with counts; bounds memory, far above what one balancer sees in a cache's life
 KEY_LIFE = 35000.0  # ms; a key that nobody asked for so long has no count left that matters
-REPORT_LIFE = 2000.0  # ms; a report's weight against the fleet's mean halves in this time
-CORES = 2.0  # requests that a server is taken to work on side by side, as no report tells it
-LAG_LIFE = 1000.0  # ms; half-life of the waiting that an answer or a time-out showed us
 MAX_TURNED = 3  # servers that may fail a request before it is given up; more only adds to a crowd
-LAG_SHARE = 0.1  # weight of one attempt's waiting in the mean over all servers
 LET_TRY = 0.1  # share of the hopeless sent all the same, to learn when a server has recovered
 NUDGE = 0.5  # how far one observed hit or miss moves the cached chance
 FETCH_SHARE = 0.15  # of the aim: first guess of an origin fetch's time
@@ -59,8 +60,8 @@
 class Server:
     """What this balancer knows of one server."""
 
-    __slots__ = ("budget", "lag", "lag_at", "limit", "line", "out", "report", "report_at", "salt", "shut_at",
-                 "since", "tally", "told_shut", "trust")
+    __slots__ = ("budget", "limit", "line", "out", "salt", "seen", "shut_at", "since", "tally",
+                 "told_shut", "trust")
 
     def __init__(self, line: Member, saved: float, since: float) -> None:
         self.line, self.since = line, since  # since: when it was as cold as at its start; 0: long ago
@@ -68,9 +69,7 @@
         self.told_shut = line.state != ServerState.READY
         self.tally, self.out = 0.0, 0  # cost and number of our attempts that are out
         self.limit = Concurrency()
-        self.report, self.report_at = 0.0, -math.inf  # load in ms of waiting, and when it came
-        self.lag, self.lag_at = 0.0, -math.inf  # ms of waiting that our last attempt met, and when
-        self.trust = Trust()
+        self.seen, self.trust = Seen(), Trust()
         self.shut_at = math.inf  # when we were told that it drains or is gone
         self.salt = mix(line.server + 1)
 
@@ -120,6 +119,7 @@
         self.list_count = 0  # lists so far
         self.places, self.places_at = Homes(settings.me, HOMES), -1  # the list that they were taken from
         self.crowd = Crowd()
+        self.zones: Zones | None = None  # which zones are left alone; None: the operator's file has that off
         self.origin: Server | None = None
         self.prior = list(PRIOR)
         self.keys: OrderedDict[int, Key] = OrderedDict()
@@ -131,9 +131,9 @@
         self.seconds = Seconds()
         self.excluded: set[int] = set()  # servers that operators leave out
         self.work: dict[str, Work] = {}  # learned times of each class
+        self.views = Views()
         self._tune(settings)
         self.mean_work = self.work[settings.classes[0].name].typical
-        self.mean_report = self.mean_lag = 0.0
         self.pace = Pace(HALF_LIFE)  # of what is served
         self.warm, self.warm_at = 0.0, -math.inf  # what all can do now, in quick warm servers
         self.speeds = Speeds()
@@ -144,8 +144,8 @@
 
     def _tune(self, settings: Settings) -> None:
         """Take in settings, the first or new ones; what was learned of a class stays with its name."""
-        self.set, fields, classes = settings.validated(), settings.report_fields, settings.classes
-        self.at_field = {name: fields.index(name) for name in ("inflight", "queue", "util") if name in fields}
+        self.set, classes = settings.validated(), settings.classes
+        self.views.know(settings.report_fields)
         self.work = {c.name: self.work.get(c.name) or Work(c.aim * 0.1) for c in classes}
         self.through = settings.mode == "through"  # servers fetch what they lack
         self.least_worth = max(1e-6, min(c.worth for c in classes))
@@ -176,7 +176,7 @@
                 tracked.streaming = True
         elif isinstance(event, ProbeResult):
             if server := self.servers.get(event.server):
-                self._hear(now, server, event.report)
+                self.views.hear(now, server.seen, event.report, self.mean_work)
         elif isinstance(event, Exclusion):
             self._on_exclusion(now, event)
         elif isinstance(event, Retuned):
@@ -233,6 +233,8 @@
                 self.origin = server if not server.told_shut else self.origin
             elif not server.told_shut and server.line.server not in self.excluded:
                 self.ready.append(server)
+        if self.zones:
+            self.zones.listed(s.line.zone for s in self.ready)
         self.crowd.know(self.set.balancers, len(self.ready), len({s.line.zone for s in self.ready}))
 
     def _on_exclusion(self, now: float, event: Exclusion) -> None:
@@ -303,29 +305,15 @@
     # score
 
     def _load(self, now: float, server: Server, lag: float) -> float:
-        """Blend our own tally with the last report, which fades to the fleet's mean as it ages."""
-        fresh = math.exp2((server.report_at - now) / REPORT_LIFE)
-        told = server.report * fresh + self.mean_report * (1 - fresh)
-        return server.tally / server.limit.width(CORES) + max(told, lag)
+        """What our own attempts there have to wait for, and what else shows there."""
+        return server.tally / server.limit.width(CORES) + max(self.views.told(now, server.seen), lag)
 
     def _cost(self, tracked: Tracked, server: Server) -> float:
         """What a request should take there, in ms."""
         return tracked.cost / self.speeds.of(server.line.kind)
 
     def _lag(self, now: float, server: Server) -> float:
-        """The waiting to expect: what our last attempt there met, fading to the mean over all servers."""
-        fresh = math.exp2((server.lag_at - now) / LAG_LIFE)
-        return server.lag * fresh + self.mean_lag * (1 - fresh)
-
-    def _hear(self, now: float, server: Server, report: tuple[float, ...]) -> None:
-        if not report or not self.at_field:
-            return
-        waits = []
-        for name, at in self.at_field.items():
-            value = max(0.0, report[at]) if at < len(report) else 0.0
-            waits.append(min(value, 0.95) / (1 - min(value, 0.95)) if name == "util" else value / CORES)
-        server.report, server.report_at = max(waits) * self.mean_work, now
-        self.mean_report += (server.report - self.mean_report) * 0.05
+        return self.views.lag(now, server.seen)
 
     def _homes(self, now: float, entry: Key, req: Request) -> list[Home]:
         """Return a key's homes by weighted stable hash: every balancer with the same list names the same."""
@@ -339,7 +327,8 @@
 
     def _crossing(self, server: Server, cls: RequestClass) -> float:
         """What leaving the zone costs, in ms: its price in worth, and a request's worth is its aim."""
-        return self.set.price_cross_zone * cls.aim if server.line.zone != self.set.zone else 0.0
+        far = self.zones.cost(self.set.zone, server.line.zone) if self.zones else 0.0
+        return far + self.set.price_cross_zone * cls.aim if server.line.zone != self.set.zone else 0.0
 
     def _miss_cost(self, now: float, cls: RequestClass) -> float:
         """What a fetch from the origin costs, in ms: its usual time, its prices, and its scarcity."""
@@ -371,7 +360,8 @@
         for number, (floor, role) in floors.items():
             server = self.servers[number]
             if server.trust.back_until > now or number in tracked.bad or number in tracked.missed or (
-                    server.since > 0 and not self._warm_enough(now, server, tracked)):
+                    server.since > 0 and not self._warm_enough(now, server, tracked)) or (
+                    self.zones and not self.zones.is_open(now, server.line.zone, tracked.req.key)):
                 continue
             count, nudge = counted.get(number, (0.0, 0.0))
             chance = count / (count + 1) if role < 0 else max(count / (count + 1), self.prior[role])
@@ -461,6 +451,8 @@
         tracked.out, server.out, server.tally = tracked.out + 1, server.out + 1, server.tally + cost
         fetch = self.fetches.sent(self._fetch_chance(tracked))
         tracked.tries.append((server.line.server, now, cost, server.out, fetch))
+        if self.zones:
+            self.zones.sent(now, server.line.zone)
         server.budget.spend(self._heavy(tracked))
         if effect == Effect.KEYED and tracked.ran_at < 0:
             tracked.ran_at, tracked.ran_on, tracked.ran_by = now, server.line.server, len(tracked.tries) - 1
@@ -499,9 +491,11 @@
             number, sent_at, *_ = next(filter(None, tracked.tries))
             first = self.servers[number]
             if sent_at > first.trust.answered:  # nothing sent later was: it is not the connection alone
-                first.lag, first.lag_at = max(self._lag(now, first), now - sent_at), now
+                self.views.met(now, first.seen, max(self._lag(now, first), now - sent_at), False)
                 self._suspect(now, first, Result.TIMEOUT, sent_at)
-            crowded = self.own.shed or self.mean_lag > 0.4 * tracked.cls.aim
+                if self.zones and first.trust.heard_at < sent_at:
+                    self.zones.owes(now, first.line.zone, number, sent_at)
+            crowded = self.own.shed or self.views.mean_lag > 0.4 * tracked.cls.aim
             tracked.looked = first.trust.heard_at > sent_at
             if crowded or not self.seconds.pays(sent_at, first.trust, tracked.chance, self.rng.random()):
                 continue
@@ -556,7 +550,7 @@
         number, sent_at, cost, out, fetch = attempt
         server, result = self.servers[number], event.result
         server.tally, server.out = max(0.0, server.tally - cost), max(0, server.out - 1)
-        self._hear(now, server, event.report)
+        self.views.hear(now, server.seen, event.report, self.mean_work)
         if result in NEVER_RAN:
             # By its number: another one may have gone to the same server at the same time, and have run.
             if tracked.ran_at >= 0 and tracked.ran_by == event.attempt:
@@ -565,6 +559,8 @@
             tracked.ran_at, tracked.ran_on, tracked.ran_by = sent_at, number, event.attempt
         self._learn(now, tracked, server, event, cost)
         usual = self.guard.usual if server.trust.heard(now, sent_at, result) else math.inf
+        if self.zones:
+            self.zones.ended(now, server.line.zone, number, result, sent_at)
         learn_limits(server.limit, self.fetches, event, out, fetch, cost, tracked.cls.aim, usual)
         self.fetches.over(fetch)
         if tracked.looked:
@@ -588,9 +584,8 @@
             self.guard.observe(now, result == Result.OK, max(0.0, lag), LATE_FETCH * tracked.cls.aim)
         if not at_origin and (
                 result == Result.OK or (result == Result.TIMEOUT and sent_at > server.trust.answered)):
-            server.lag, server.lag_at = max(0.0, lag), now
-            if server is not self.origin and server.trust.heard_at >= sent_at:
-                self.mean_lag += (server.lag - self.mean_lag) * LAG_SHARE
+            counts = server is not self.origin and server.trust.heard_at >= sent_at
+            self.views.met(now, server.seen, lag, counts)
         if result in (Result.CONNECT_FAILED, Result.RESET, Result.ERROR, Result.TIMEOUT):
             self._suspect(now, server, result, sent_at)
         elif result in (Result.OK, Result.MISS):
--- /dev/null
+++ b/tests/test_failover_process.py
@@ -0,0 +1,69 @@
+"""A lost zone, found in common: real processes of the program, a zone dark, a cut that some see only. Loopback only."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+from starlingthread.emulator import scenario
+from starlingthread.emulator.judge import judge
+from starlingthread.emulator.run import play
+
+STAGE = """
+name = "failover"
+length_s = 11.0
+[fleet]
+boxes = 9
+[routers]
+count = 9
+[routers.options.failover]
+enabled = true
+[traffic]
+rate = 240.0
+keys = 300
+warmup_s = 2.0
+"""
+DARK = """
+[[faults]]
+kind = "zone-dark"
+zone = "bloco-b"
+start_s = 3.0
+length_s = 4.0
+[[faults]]
+kind = "kill-router"
+start_s = 4.5
+length_s = 0.5
+routers = [1]
+"""
+# One way, and for the routers of one zone only: the others hear the boxes of bloco-b well.
+CUT = """
+[[faults]]
+kind = "link-cut"
+way = "from-box"
+start_s = 3.0
+length_s = 4.0
+boxes = [1, 4, 7]
+from_zone = "bloco-a"
+"""
+LINE = re.compile(r"(zone-lost|zone-back).*?\bzone=(\S+)")
+
+
+def said(folder: Path, faults: str, *settings: str) -> list[list[tuple[str, str]]]:
+    spec = scenario.parse(STAGE + faults, "failover", settings)
+    outcome = play(spec, folder=folder)
+    assert not judge(spec, outcome.ledger).counts
+    return [LINE.findall((folder / f"r{me}.log").read_text()) for me in range(9)]
+
+
+def test_all_routers_leave_a_dark_zone_and_take_it_back_and_a_restarted_one_takes_up_the_plan(tmp_path: Path) -> None:
+    for me, own in enumerate(said(tmp_path, DARK)):
+        assert own[-2:] == [("zone-lost", "bloco-b"), ("zone-back", "bloco-b")], (me, own)
+        assert {zone for _, zone in own} == {"bloco-b"}
+
+
+def test_a_cut_that_the_routers_of_one_zone_see_closes_nothing_for_the_fleet(tmp_path: Path) -> None:
+    assert said(tmp_path, CUT) == [[]] * 9
+
+
+def test_without_the_setting_nobody_says_anything(tmp_path: Path) -> None:
+    assert said(tmp_path, DARK, "routers.options.failover.enabled=false") == [[]] * 9
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -97,23 +97,23 @@
     world.now += 100.0
     world.read(7)
     world.now += 800.0
-    before = world.balancer.mean_lag
+    before = world.balancer.views.mean_lag
     world.end(silent, Result.TIMEOUT, elapsed=930.0)
-    assert world.balancer.mean_lag == before
+    assert world.balancer.views.mean_lag == before
     unheard = only_send(world.ask(7))
     world.now += 930.0
     world.end(unheard, Result.TIMEOUT, elapsed=930.0)
-    assert world.balancer.mean_lag == before  # a lost server is no sign of queues at the others
+    assert world.balancer.views.mean_lag == before  # a lost server is no sign of queues at the others
     busy = only_send(world.ask(7))
     world.now += 10.0
     alone = only_send(world.ask(7))
     assert busy.server == alone.server
     world.now += 890.0
     world.end(busy, Result.OK, elapsed=900.0)
-    before = world.balancer.mean_lag
+    before = world.balancer.views.mean_lag
     world.now += 40.0
     world.end(alone, Result.TIMEOUT, elapsed=930.0)
-    assert world.balancer.mean_lag > before
+    assert world.balancer.views.mean_lag > before
 
 
 def test_servers_and_keys_that_are_long_gone_are_forgotten() -> None:
@@ -201,7 +201,7 @@
     assert 0 < copies <= 0.04 * (len(asked) + 41) + 1
     slow = World(COPIES)
     warmed_up(slow)
-    slow.balancer.mean_lag = 300.0
+    slow.balancer.views.mean_lag = 300.0
     slow.ask(7)
     assert not sends(slow.pass_time(400.0))
 
@@ -268,9 +268,9 @@
     world.read(7)
     send = only_send(world.ask(9))
     world.now += 400.0
-    before = world.balancer.mean_lag
+    before = world.balancer.views.mean_lag
     world.do(Outcome(send.id, 0, send.server, Result.OK, 400.0, True, note=Note.MISS))
-    assert world.balancer.mean_lag == before
+    assert world.balancer.views.mean_lag == before
 
 
 def test_a_broken_answer_is_asked_for_again_where_it_may_have_been_made_and_then_elsewhere() -> None:
