Copy more, and learn no limits, once requests are seen to get lost

Counted there by router, server and 2.5 s: 57 of some 550 requests end at the client's time-out, 3 in 4 on connections that had answered before and 1 in 4 on fresh ones, at three or four of six servers that answer what was sent later in 20 to 60 ms; 230 to 400 are refused by the limit on fetches and 50 by those of servers, which these time-outs cut (policy._on_outcome); hardly any got a second copy (limits/seconds.py: 3 % of requests, and none that may be a fetch). Ruled out: one slow server (hits 22 to 60 ms there), the origin (fetches 87 ms, 77 before), dead connections, single keys, cold servers, zones, a full core.

Change: once most of the overtaken requests are seen to stay without an answer, 15 % may be copied, also those that may be a fetch and are out for twice what one takes; a time-out of that kind teaches neither limit.

--- a/starlingthread/limits/seconds.py
+++ b/starlingthread/limits/seconds.py
@@ -4,7 +4,9 @@
 at the deadline is too late for these (Dean and Barroso, "The Tail at Scale", 2013). A server that is at work, or that
 waits for the origin, would only do the same twice and fetch it again. One that has said nothing since is at rest, as
 far as we know. Where it answers others, single work may be long or a connection may be dead; which of the two shows
-only in how such requests end, so that is learned.
+only in how such requests end, so that is learned. Once it shows that requests get lost, more of them are copied, also
+those that may have been fetches and are out for far longer than a fetch, and what got lost tells nothing of how much
+the server or the origin bears.
 """
 
 from __future__ import annotations
@@ -19,6 +21,8 @@
 GAIN = 0.05  # weight of one of them in that share
 LET_BE = 0.1  # share of them that gets no copy all the same, to learn when they are answered again
 SHARE, MOST = 0.03, 6.0  # second copies for each request that is sent, and how many may be saved up
+LOST_SHARE = 0.15  # likewise while requests are seen to get lost: the first attempt costs nothing then
+OVERDUE = 2.0  # times that a request and a fetch take, after which it is likely no fetch that is waited for
 
 
 class Seconds:
@@ -32,14 +36,22 @@
 
     def sent(self, aim: float, counted: bool) -> float:
         """Take in a first attempt, which earns a part of a copy; return after how long to look at it."""
-        self.saved = min(MOST, self.saved + SHARE)
+        self.saved = min(MOST, self.saved + (LOST_SHARE if self.dead > DEAD else SHARE))
         return AFTER * aim * (1.0 if counted else UNCOUNTED)
 
-    def pays(self, sent_at: float, trust: Trust, chance: float, draw: float) -> bool:
-        """Tell whether what was sent then, and is cached by this chance, is worth a copy; 'draw' is in [0, 1)."""
+    def pays(self, sent_at: float, trust: Trust, chance: float, over: float, draw: float) -> bool:
+        """Tell whether what was sent then, and is cached by this chance, is worth a copy; 'draw' is in [0, 1).
+
+        over: times that it is out already what a request and a fetch take.
+        """
         if self.saved < 1:
             return False
-        return trust.heard_at <= sent_at or (chance > CACHED and self.dead > DEAD and draw >= LET_BE)
+        overdue = chance > CACHED or over > OVERDUE
+        return trust.heard_at <= sent_at or (overdue and self.dead > DEAD and draw >= LET_BE)
+
+    def lost(self, result: Result, sent_at: float, trust: Trust) -> bool:
+        """Tell whether what ended so got lost by itself, while its server answered what was sent later."""
+        return result == Result.TIMEOUT and self.dead > DEAD and trust.answered > sent_at
 
     def ended(self, result: Result, chance: float) -> None:
         """Take in how one ended that was looked at and got no copy."""
--- a/starlingthread/policy.py
+++ b/starlingthread/policy.py
@@ -497,7 +497,9 @@
                     self.zones.owes(now, first.line.zone, number, sent_at)
             crowded = self.own.shed or self.views.mean_lag > 0.4 * tracked.cls.aim
             tracked.looked = first.trust.heard_at > sent_at
-            if crowded or not self.seconds.pays(sent_at, first.trust, tracked.chance, self.rng.random()):
+            over = (now - sent_at) / (self._cost(tracked, first) + self.guard.usual)
+            draw = self.rng.random()
+            if crowded or not self.seconds.pays(sent_at, first.trust, tracked.chance, over, draw):
                 continue
             tracked.bad.append(number)
             key = tracked.req.key
@@ -561,7 +563,8 @@
         usual = self.guard.usual if server.trust.heard(now, sent_at, result) else math.inf
         if self.zones:
             self.zones.ended(now, server.line.zone, number, result, sent_at)
-        learn_limits(server.limit, self.fetches, event, out, fetch, cost, tracked.cls.aim, usual)
+        if not self.seconds.lost(result, sent_at, server.trust):
+            learn_limits(server.limit, self.fetches, event, out, fetch, cost, tracked.cls.aim, usual)
         self.fetches.over(fetch)
         if tracked.looked:
             self.seconds.ended(result, tracked.chance)
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from starlingthread.interface import (
     Fail, ListKind, Member, MemberList, Note, Outcome, Refuse, Request, Result, ServerState,
 )
@@ -182,6 +184,33 @@
     assert not any(overtaken(Result.OK, 500.0) for _ in range(20))
 
 
+@pytest.mark.parametrize("dead", [0.0, 0.9])
+def test_what_got_lost_says_nothing_of_server_or_origin_and_more_of_it_is_copied(dead: float) -> None:
+    """On churn+long of the second site a tenth of all got no answer for 15 s, and a fifth was refused for that."""
+    world = World(COPIES)
+    warmed_up(world)
+    seconds, fetches = world.balancer.seconds, world.balancer.fetches
+    seconds.dead, world.balancer.prior = dead, [0.0, 0.0]
+    for key in range(100, 140):
+        seconds.saved = 0.0
+        if not (sent := sends(world.ask(key))):
+            break
+        first = sent[0]
+        world.now += 10.0
+        while world.read(7) != first.server:
+            world.now += 1.0
+            world.balancer.keys[7].counts = {first.server: (50.0, world.now, 1.0)}
+        world.now += 900.0
+        world.end(first, Result.TIMEOUT, elapsed=990.0)
+    assert fetches.limit.known == (dead == 0.0)
+    for _ in range(20):
+        seconds.sent(500.0, True)
+    assert (seconds.saved >= 2.0) == (dead > 0)
+    trust = world.balancer.servers[first.server].trust
+    assert seconds.pays(trust.heard_at - 1.0, trust, 0.0, 3.0, 0.5) == (dead > 0)  # a fetch that is out for too long
+    assert not seconds.pays(trust.heard_at - 1.0, trust, 0.0, 1.0, 0.5)
+
+
 def test_a_key_gets_a_home_in_the_zone_once_leaving_it_has_cost_as_much_as_a_fetch() -> None:
     def near(price: float, routers: int = 4) -> int:
         world = World(THROUGH._replace(price_cross_zone=price, balancers=routers), members(8, zones=2))
