Find a lost zone by what is owed, not by time-outs, and give others half a second to object

Change: what is out for four times the usual answer is owed (failover/evidence.py); what was heard before somebody called the zone lost speaks for nothing; less than most of the witnesses wait 0.5 s for others to object (failover/plan.py).

--- a/starlingthread/failover/plan.py
+++ b/starlingthread/failover/plan.py
@@ -26,6 +26,7 @@
 WITNESSES = 15  # of a zone; odd, so that two halves do not tie
 LEAST_WORDS = 2  # that call a zone lost
 LIFE = 3000.0  # ms for which a word is good
+SETTLE = 500.0  # ms for which others may speak against it before a zone is lost, unless most witnesses call it that
 AGAIN = LIFE / 3  # ms after which its witness tells it anew while the zone is in question: two in a row may be lost
 HOLD = 500.0  # ms for which a zone that is well again is left alone, doubled for each further loss in the last minute
 MOST_HOLD = 30000.0
@@ -98,6 +99,7 @@
         self.zones: dict[int, ZonePlan] = {}
         self.changes: list[Change] = []  # taken out by who shows them
         self._number = 0  # of our last word
+        self._since: dict[tuple[int, int], float] = {}  # when a witness began to say what it says
         self.know(members)
 
     def know(self, members: Iterable[int]) -> None:
@@ -121,6 +123,11 @@
         chosen = self.chosen(zone)
         return [word for (z, who), (word, at) in self.words.items() if z == zone and who in chosen and now - at < LIFE]
 
+    def lost_since(self, now: float, zone: int) -> float:
+        """Return when the first of those who call a zone lost began to, as we heard it; infinite if nobody does."""
+        words = self.good(now, zone)
+        return min((self._since[zone, w.witness] for w in words if w.says == Says.LOST), default=math.inf)
+
     def say(self, now: float, zone: int, says: Says | None) -> Word | None:
         """Say what we see of a zone (None: nothing lately); return the word if it is to be told to all."""
         old = self.words.get((zone, self.me))
@@ -133,7 +140,7 @@
             return None
         self._number = max(self._number + 1, int(now))  # so a router that was started anew outdoes its old words
         word = Word(self.me, zone, says, self._number)
-        self.words[zone, self.me] = (word, now)
+        self._put(now, word)
         return word
 
     def hear(self, now: float, word: Word) -> bool:
@@ -141,15 +148,24 @@
         old = self.words.get((word.zone, word.witness))
         if word.witness == self.me or word.number > now + AHEAD or (old is not None and old[0].number >= word.number):
             return False
-        self.words[word.zone, word.witness] = (word, now)
+        self._put(now, word)
         return True
 
+    def _put(self, now: float, word: Word) -> None:
+        place = (word.zone, word.witness)
+        old = self.words.get(place)
+        if old is None or old[0].says != word.says or now - old[1] > LIFE:
+            self._since[place] = now
+        self.words[place] = (word, now)
+
     def decide(self, now: float, zone: int) -> None:
         """Reckon the plan for a zone anew. Who hears no word leaves no zone alone for the fleet."""
         words = self.good(now, zone)
         lost_words = sum(word.says == Says.LOST for word in words)
         lost = lost_words >= LEAST_WORDS and 2 * lost_words > len(words)
         plan = self.zones.get(zone)
+        if lost and (plan is None or not plan.lost) and 2 * lost_words <= len(self.chosen(zone)):
+            lost = now - self.lost_since(now, zone) >= SETTLE
         if plan is None and lost:
             plan = self.zones[zone] = ZonePlan()
         if plan is not None and plan.lost != lost:
--- a/starlingthread/failover/zones.py
+++ b/starlingthread/failover/zones.py
@@ -40,9 +40,9 @@
         for zone in zones:
             self.sizes[zone] = self.sizes.get(zone, 0) + 1
 
-    def heard(self, now: float, zone: int) -> None:
-        """Take in a word from any server of a zone."""
-        self._of(zone).heard(now)
+    def heard(self, now: float, zone: int, server: int, elapsed: float) -> None:
+        """Take in a word from a server of a zone."""
+        self._of(zone).heard(now, server, elapsed)
         if self._shut.pop(zone, None) is not None or zone in self.plan.zones:
             self._say(now, zone)
 
@@ -51,13 +51,17 @@
         if result in SILENT:
             self.owes(now, zone, server, sent_at)
         elif result not in (Result.CANCELLED, Result.MOOT):
-            self.heard(now, zone)
+            self.heard(now, zone, server, now - sent_at)
+        else:
+            self._of(zone).out.pop(server, None)
 
     def owes(self, now: float, zone: int, server: int, sent_at: float) -> None:
         """Take in that what was sent to a server then stayed without an answer or found no connection."""
-        seen = self._of(zone)
-        seen.owes(server, sent_at)
-        if seen.is_lost(self.sizes.get(zone, 0)):
+        self._of(zone).owes(server, sent_at)
+        self._look(now, zone)
+
+    def _look(self, now: float, zone: int) -> None:
+        if self._of(zone).is_lost(self.sizes.get(zone, 0)):
             self._shut.setdefault(zone, (now + TRY_EVERY, TRY_EVERY))
             self._say(now, zone)
 
@@ -84,8 +88,9 @@
             return True
         return self.plan.zones[zone].lost and self.plan.me in self.plan.chosen(zone)
 
-    def sent(self, now: float, zone: int) -> None:
-        """Take in that a request goes to a zone: if that is left alone, the next one waits for longer."""
+    def sent(self, now: float, zone: int, server: int) -> None:
+        """Take in that a request goes to a server: if its zone is left alone, the next one waits for longer."""
+        self._of(zone).sent(now, server)
         plan = self.plan.zones.get(zone)
         if zone in self._shut or (plan is not None and plan.lost):
             _, pause = self._shut.get(zone, (now, TRY_EVERY))
@@ -95,8 +100,9 @@
 
     def _say(self, now: float, zone: int) -> None:
         seen = self._of(zone)
-        lost = seen.is_lost(self.sizes.get(zone, 0))
-        says = Says.LOST if lost else Says.WELL if now - seen.heard_at < FRESH else None
+        says: Says | None = Says.LOST
+        if not seen.is_lost(self.sizes.get(zone, 0)):  # what was heard before it was called lost is old
+            says = Says.WELL if seen.heard_at > max(now - FRESH, self.plan.lost_since(now, zone)) else None
         if (word := self.plan.say(now, zone, says)) is not None:
             self.telling.append(word)
         self.plan.decide(now, zone)
@@ -109,6 +115,9 @@
 
     def tick(self, now: float) -> None:
         """Do what time brings, a few times a second: words run out, and are told again while a zone is in question."""
+        for zone, seen in self.seen.items():
+            seen.look(now)
+            self._look(now, zone)
         for zone in {zone for zone, _ in self.plan.words} | set(self.plan.zones) | set(self._shut):
             self._say(now, zone)
 
--- a/starlingthread/policy.py
+++ b/starlingthread/policy.py
@@ -452,7 +452,7 @@
         fetch = self.fetches.sent(self._fetch_chance(tracked))
         tracked.tries.append((server.line.server, now, cost, server.out, fetch))
         if self.zones:
-            self.zones.sent(now, server.line.zone)
+            self.zones.sent(now, server.line.zone, server.line.server)
         server.budget.spend(self._heavy(tracked))
         if effect == Effect.KEYED and tracked.ran_at < 0:
             tracked.ran_at, tracked.ran_on, tracked.ran_by = now, server.line.server, len(tracked.tries) - 1
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -10,8 +10,8 @@
 from hypothesis import strategies as st
 
 from starlingthread import options
-from starlingthread.failover.evidence import ZoneSeen
-from starlingthread.failover.plan import HOLD, LIFE, STEP, STEPS, Plan, Says, Word, witnesses
+from starlingthread.failover.evidence import LEAST_WAIT, ZoneSeen
+from starlingthread.failover.plan import HOLD, LIFE, SETTLE, STEP, STEPS, Plan, Says, Word, witnesses
 from starlingthread.failover.topology import Topology, TopologyError
 from starlingthread.failover.wire import MOST_WORDS, decode, encode
 from starlingthread.failover.zones import MOST_TRY, TRY_EVERY, Zones
@@ -50,12 +50,10 @@
                 for zone in router.sizes:
                     if not router.is_open(self.now, zone, self.rng.getrandbits(64)):
                         continue
-                    router.sent(self.now, zone)
-                    if number in lost.get(zone, ()):
-                        server = zone * 10 + self.rng.randrange(router.sizes[zone])
-                        router.owes(self.now, zone, server, self.now - 1.0)
-                    else:
-                        router.heard(self.now, zone)
+                    server = zone * 10 + self.rng.randrange(router.sizes[zone])
+                    router.sent(self.now, zone, server)
+                    if number not in lost.get(zone, ()):
+                        router.heard(self.now, zone, server, 1.0)
                 router.tick(self.now)
             self.talk()
 
@@ -76,6 +74,7 @@
         for word in words:
             plan.hear(NOW, word)
         plan.decide(NOW, 1)
+        plan.decide(NOW + SETTLE, 1)
         plans.append((1 in plan.zones and plan.zones[1].lost, sorted(plan.good(NOW, 1))))
     assert plans[0] == plans[1]
 
@@ -90,7 +89,7 @@
         newest: dict[int, int] = {}
         for word in order:
             plan.hear(NOW, word)
-            plan.decide(NOW, 1)
+            plan.decide(NOW + SETTLE, 1)
             newest[word.witness] = max(newest.get(word.witness, 0), word.number)
             good = {w.witness: w for w in plan.good(NOW, 1)}
             assert {who: w.number for who, w in good.items()} == newest  # no old one comes back
@@ -166,6 +165,7 @@
             for who in (1, 2, 3):
                 plan.hear(at + later, Word(who, 1, says, int(at + later)))
             plan.decide(at + later, 1)
+            plan.decide(at + later + SETTLE, 1)
         until.append(plan.zones[1].until - at - 1000.0)
     assert until == [HOLD, 2 * HOLD, 4 * HOLD, 8 * HOLD]
     assert plan.zones[1].share(at + 1000.0 + until[-1] + STEPS * STEP) == 1.0
@@ -178,10 +178,10 @@
         for server in (1, 2):
             zones.owes(NOW, zone, zone * 10 + server, NOW - 1.0)
     assert zones.is_open(NOW, 0, 7) and zones.is_open(NOW, 1, 7)
-    zones.heard(NOW + 1.0, 0)
+    zones.heard(NOW + 1.0, 0, 1, 5.0)
     assert zones.is_open(NOW + 1.0, 0, 7) and not zones.is_open(NOW + 1.0, 1, 7)
     assert zones.is_open(NOW + TRY_EVERY, 1, 7)
-    zones.sent(NOW + TRY_EVERY, 1)
+    zones.sent(NOW + TRY_EVERY, 1, 11)
     assert not zones.is_open(NOW + 2 * TRY_EVERY - 1.0, 1, 7)
 
 
@@ -190,10 +190,16 @@
     for _ in range(9):
         seen.owes(1, 5.0)
     assert not seen.is_lost(4) and seen.is_lost(1)
-    seen.heard(10.0)
+    seen.heard(10.0, 1, 5.0)
     seen.owes(2, 9.0)
     seen.owes(3, 9.0)
     assert not seen.is_lost(4) and not seen.is_lost(0)
+    for server in (1, 2):
+        seen.sent(20.0, server)
+    seen.look(20.0 + LEAST_WAIT)
+    assert not seen.is_lost(4)
+    seen.look(21.0 + LEAST_WAIT)  # twenty times what an answer takes: long before a time-out
+    assert seen.is_lost(4)
 
 
 @given(st.lists(st.tuples(st.integers(0, 5), st.sampled_from(Says), st.integers(0, 2**63)), min_size=1, max_size=40),
--- a/tests/test_failover_process.py
+++ b/tests/test_failover_process.py
@@ -14,6 +14,8 @@
 length_s = 11.0
 [fleet]
 boxes = 9
+[discovery]
+crash_notice_ms = 6000
 [routers]
 count = 9
 [routers.options.failover]
