Leave the trial of a lost zone to its witnesses, and forget what unlisted servers owe

Cause, found on a second reading: every router that had left a zone alone by itself went on trying it while the plan had it lost (Zones._may), as the design says the witnesses do; what a server owed that left the list counted against its zone, of which fewer were then enough; a reload that changed the routers did not reach the plan. Change: as the title says. Test: nine processes, a zone that flaps, a router killed while it is lost takes the plan up anew; the list tells nothing meanwhile.

--- a/starlingthread/failover/evidence.py
+++ b/starlingthread/failover/evidence.py
@@ -45,6 +45,11 @@
         if sent_at > self.heard_at:
             self.silent.setdefault(server, sent_at)
 
+    def forget_all_but(self, servers: set[int]) -> None:
+        """Take in which servers the zone has."""
+        self.out = {server: at for server, at in self.out.items() if server in servers}
+        self.silent = {server: at for server, at in self.silent.items() if server in servers}
+
     def look(self, now: float) -> None:
         """Take in that time has passed: what is out for too long is owed."""
         if self.usual <= 0:
--- a/starlingthread/failover/zones.py
+++ b/starlingthread/failover/zones.py
@@ -34,11 +34,13 @@
         self.telling: list[Word] = []  # taken out by who tells them to all
         self._shut: dict[int, tuple[float, float]] = {}  # left alone by ourselves: when to try next, and the pause
 
-    def listed(self, zones: Iterable[int]) -> None:
-        """Take in the zone of each server that is ready."""
-        self.sizes = {}
-        for zone in zones:
+    def listed(self, servers: Iterable[tuple[int, int]]) -> None:
+        """Take in zone and number of each server that is ready; what others owe tells nothing of their zone."""
+        self.sizes, listed = {}, {*servers}
+        for zone, _ in listed:
             self.sizes[zone] = self.sizes.get(zone, 0) + 1
+        for zone, seen in self.seen.items():
+            seen.forget_all_but({server for where, server in listed if where == zone})
 
     def heard(self, now: float, zone: int, server: int, elapsed: float) -> None:
         """Take in a word from a server of a zone."""
@@ -82,17 +84,20 @@
     def _may(self, now: float, zone: int, key: int) -> bool:
         if zone in self.closed:
             return False
+        if self._is_lost(zone) and self.plan.me not in self.plan.chosen(zone):
+            return False  # the witnesses find out for all
         if zone in self._shut:
             return now >= self._shut[zone][0]
-        if self.plan.is_open(now, zone, key):
-            return True
-        return self.plan.zones[zone].lost and self.plan.me in self.plan.chosen(zone)
+        return self._is_lost(zone) or self.plan.is_open(now, zone, key)
+
+    def _is_lost(self, zone: int) -> bool:
+        plan = self.plan.zones.get(zone)
+        return plan is not None and plan.lost
 
     def sent(self, now: float, zone: int, server: int) -> None:
         """Take in that a request goes to a server: if its zone is left alone, the next one waits for longer."""
         self._of(zone).sent(now, server)
-        plan = self.plan.zones.get(zone)
-        if zone in self._shut or (plan is not None and plan.lost):
+        if zone in self._shut or self._is_lost(zone):
             _, pause = self._shut.get(zone, (now, TRY_EVERY))
             self._shut[zone] = (now + pause, min(MOST_TRY, 2 * pause))
 
@@ -105,7 +110,10 @@
             says = Says.WELL if seen.heard_at > max(now - FRESH, self.plan.lost_since(now, zone)) else None
         if (word := self.plan.say(now, zone, says)) is not None:
             self.telling.append(word)
+        was_lost = self._is_lost(zone)
         self.plan.decide(now, zone)
+        if was_lost and not self._is_lost(zone) and zone in self._shut:
+            self._shut[zone] = (now, TRY_EVERY)  # the others hear it again: see for ourselves
 
     def hear(self, now: float, words: Iterable[Word]) -> None:
         """Take in the words of another router, and say what we see of the same zones."""
--- a/starlingthread/net/failover.py
+++ b/starlingthread/net/failover.py
@@ -54,10 +54,11 @@
             log.warning("failover-alone", why="messages between routers are not allowed, or there are no others")
         if self.zones is None:
             self.zones = Zones(self.me, self.members.alive())
-            self.zones.listed(s.line.zone for s in self.router.module.ready)
+            self.zones.listed((s.line.zone, s.line.server) for s in self.router.module.ready)
             self.members.on_change = self._know
             self.router.module.zones = self.zones
             self._set()
+        self.zones.know(self.members.alive())
         self.zones.topology, self.zones.far = topology, own.far_ms
         self.zones.closed = frozenset(names.index(zone) for zone in own.closed)
         if self._tells:
--- a/starlingthread/policy.py
+++ b/starlingthread/policy.py
@@ -234,7 +234,7 @@
             elif not server.told_shut and server.line.server not in self.excluded:
                 self.ready.append(server)
         if self.zones:
-            self.zones.listed(s.line.zone for s in self.ready)
+            self.zones.listed((s.line.zone, s.line.server) for s in self.ready)
         self.crowd.know(self.set.balancers, len(self.ready), len({s.line.zone for s in self.ready}))
 
     def _on_exclusion(self, now: float, event: Exclusion) -> None:
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -31,7 +31,7 @@
         self.routers = [Zones(n, range(count)) for n in range(count)]
         self.cut: set[int] = set()
         for router in self.routers:
-            router.listed(zone for zone, size in sizes.items() for _ in range(size))
+            router.listed((zone, zone * 10 + place) for zone, size in sizes.items() for place in range(size))
 
     def talk(self) -> None:
         while any(router.telling for router in self.routers):
@@ -107,8 +107,8 @@
     assert fleet.sent == 0  # while all is well nobody says anything
     fleet.play(500.0, {1: set(range(40))})
     assert fleet.lost(1) == 40 and fleet.lost(0) == fleet.lost(2) == 0
-    asked = sum(router.is_open(fleet.now, 1, 7) for router in fleet.routers)
-    assert asked <= len(witnesses(1, range(40)))
+    asked = [n for n, router in enumerate(fleet.routers) if router.is_open(fleet.now + MOST_TRY, 1, 7)]
+    assert sorted(asked) == sorted(witnesses(1, range(40)))
     fleet.play(4000.0, {1: set(range(40))})
     assert fleet.lost(1) == 40
     fleet.play(MOST_TRY + 500.0, {})
@@ -173,7 +173,7 @@
 
 def test_where_all_zones_look_lost_none_is_left_alone() -> None:
     zones = Zones(0, range(3))
-    zones.listed([0, 0, 1, 1])
+    zones.listed([(0, 1), (0, 2), (1, 11), (1, 12)])
     for zone in (0, 1):
         for server in (1, 2):
             zones.owes(NOW, zone, zone * 10 + server, NOW - 1.0)
@@ -194,6 +194,9 @@
     seen.owes(2, 9.0)
     seen.owes(3, 9.0)
     assert not seen.is_lost(4) and not seen.is_lost(0)
+    seen.owes(7, 15.0)
+    seen.forget_all_but({1, 2, 8})  # one that left the list tells nothing of its zone
+    assert not seen.silent
     for server in (1, 2):
         seen.sent(20.0, server)
     seen.look(20.0 + LEAST_WAIT)
@@ -232,7 +235,7 @@
         world = World(THROUGH, members(6, zones=2))
         if on:
             world.balancer.zones = Zones(0, range(4))
-            world.balancer.zones.listed(s.line.zone for s in world.balancer.ready)
+            world.balancer.zones.listed((s.line.zone, s.line.server) for s in world.balancer.ready)
         count = 0
         for key in range(1, 200):
             world.now += 5.0
--- a/tests/test_failover_process.py
+++ b/tests/test_failover_process.py
@@ -11,11 +11,11 @@
 
 STAGE = """
 name = "failover"
-length_s = 11.0
+length_s = 18.0
 [fleet]
 boxes = 9
 [discovery]
-crash_notice_ms = 6000
+crash_notice_ms = 20000
 [routers]
 count = 9
 [routers.options.failover]
@@ -30,7 +30,12 @@
 kind = "zone-dark"
 zone = "bloco-b"
 start_s = 3.0
-length_s = 4.0
+length_s = 6.0
+[[faults]]
+kind = "zone-dark"
+zone = "bloco-b"
+start_s = 12.0
+length_s = 3.0
 [[faults]]
 kind = "kill-router"
 start_s = 4.5
@@ -59,8 +64,9 @@
 
 def test_all_routers_leave_a_dark_zone_and_take_it_back_and_a_restarted_one_takes_up_the_plan(tmp_path: Path) -> None:
     for me, own in enumerate(said(tmp_path, DARK)):
-        assert own[-2:] == [("zone-lost", "bloco-b"), ("zone-back", "bloco-b")], (me, own)
-        assert {zone for _, zone in own} == {"bloco-b"}
+        # It flaps: lost and back twice, the same at all; the one that is killed while it is lost takes that up anew.
+        expected = [("zone-lost", "bloco-b"), ("zone-back", "bloco-b")] * 2
+        assert own == ([("zone-lost", "bloco-b")] if me == 1 else []) + expected, (me, own)
 
 
 def test_a_cut_that_the_routers_of_one_zone_see_closes_nothing_for_the_fleet(tmp_path: Path) -> None:
