Play five faults between nine processes and ask for even load after each

Need: the hard cases of the issue on even load were not played by several processes. Test: a slow box that is well at once, a third of the routers stopped or killed, a slow link, a silent box; reports 2 s late.

--- a/tests/test_herd.py
+++ b/tests/test_herd.py
@@ -48,10 +48,29 @@
 """
 
 
+# Each with what it does to the boxes while it lasts; all is over 4 s before the end.
+HARD = {
+    "a box slow, then well at once": 'kind = "slow"\nstrength = 8.0\nboxes = [0]',
+    "a third of the routers stopped, and on with old views": 'kind = "stop-router"\nrouters = [0, 3, 6]',
+    "a third of the routers killed, and back with empty tables": 'kind = "kill-router"\nrouters = [1, 4, 7]',
+    "a slow link that looks like a slow box to some":
+        'kind = "link-slow"\nstrength = 60.0\nboxes = [2, 3]\nfrom_zone = "bloco-c"',
+    "a box that says nothing, then is there again": 'kind = "silent"\nboxes = [4]',
+}
+
+
 def played(folder: Path, *settings: str, faults: str = "") -> Results:
+    return played_with_parts(folder, *settings, faults=faults)[0]
+
+
+def played_with_parts(folder: Path, *settings: str, faults: str = "") -> tuple[Results, list[float]]:
+    """Play it; return the results, and what each box got in the last three seconds against the mean."""
     spec = scenario.parse(STAGE + faults, "herd", settings)
     outcome = play(spec, folder=folder)
-    return reduce(spec, outcome.ledger, outcome.facts, judge(spec, outcome.ledger))
+    end = outcome.ledger.started_at + spec.length_s * 1000.0
+    boxes = [one.box for one in outcome.ledger.deliveries if end - 3000.0 <= one.first_at < end]
+    parts = [boxes.count(box) * spec.fleet.boxes / len(boxes) for box in range(spec.fleet.boxes)]
+    return reduce(spec, outcome.ledger, outcome.facts, judge(spec, outcome.ledger)), parts
 
 
 def test_the_module_does_not_herd_and_the_least_reported_load_does(tmp_path: Path) -> None:
@@ -74,6 +93,16 @@
     assert sum(during[0]) >= sum(during[1])
 
 
+@pytest.mark.parametrize("hard", HARD)
+def test_load_is_even_again_soon_after_a_fault_and_nobody_is_forgotten(hard: str, tmp_path: Path) -> None:
+    """The least reported load leaves boxes with nothing and others with three to four times the mean."""
+    faults = f"[[faults]]\nstart_s = 5.0\nlength_s = 3.0\n{HARD[hard]}\n"
+    ours, parts = played_with_parts(
+        tmp_path / "ours", "length_s=12.0", "fleet.report_delay_ms=2000.0", faults=faults)
+    assert not ours.verdict.counts and ours.worth_share > 0.85
+    assert min(parts) > 0.4 and max(parts) < 2.0, parts
+
+
 @pytest.mark.parametrize("policy", ["random", "round-robin", "bounded-hash", "two-choices", "two-reported", "truth"])
 def test_each_yardstick_serves_and_breaks_no_rule(policy: str, tmp_path: Path) -> None:
     short = msgspec.structs.replace(scenario.parse(STAGE, "herd", (f'routers.policy="{policy}"',)), length_s=3.0)
