Keep zones closed by hand closed, and reckon the plan less often

Cause, found on reading the change once more: where all zones looked lost, one that the operator's file closes was opened with the others (Zones.is_open); every answer from a zone that had ever been lost reckoned its plan anew (Zones.heard), and a zone closed by hand was missing in the figures. Change: closed comes first; answers reckon only while the zone is lost, the tick does else. The test of panic has a closed zone and fails without it.

--- a/starlingthread/failover/zones.py
+++ b/starlingthread/failover/zones.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterable
 
 from ..interface import Result
@@ -45,8 +44,8 @@
     def heard(self, now: float, zone: int, server: int, elapsed: float) -> None:
         """Take in a word from a server of a zone."""
         self._of(zone).heard(now, server, elapsed)
-        if self._shut.pop(zone, None) is not None or zone in self.plan.zones:
-            self._say(now, zone)
+        if self._shut.pop(zone, None) is not None or self._is_lost(zone):
+            self._say(now, zone)  # while it is only in question, the tick does
 
     def ended(self, now: float, zone: int, server: int, result: Result, sent_at: float) -> None:
         """Take in how an attempt ended."""
@@ -74,7 +73,10 @@
         """Tell whether a request for a key (a 64-bit hash) may go to a zone now, be it to find out if it is back.
 
         Where all zones would be left alone none is: then it is we who see nothing, or nothing is better than the rest.
+        What operators close stays closed all the same.
         """
+        if zone in self.closed:
+            return False
         return self._may(now, zone, key) or not any(self._may(now, other, key) for other in self.sizes)
 
     def cost(self, here: int, there: int) -> float:
@@ -141,5 +143,5 @@
     def state(self, now: float) -> dict[int, float]:
         """Return for each zone that is not wholly open the share of keys that it may have."""
         shares = {zone: plan.share(now) for zone, plan in self.plan.zones.items()}
-        return {zone: share for zone, share in {**shares, **dict.fromkeys(self._shut, 0.0)}.items()
-                if share < 1 and not math.isnan(share)}
+        shares.update(dict.fromkeys((*self._shut, *self.closed), 0.0))
+        return {zone: share for zone, share in shares.items() if share < 1}
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -178,6 +178,9 @@
         for server in (1, 2):
             zones.owes(NOW, zone, zone * 10 + server, NOW - 1.0)
     assert zones.is_open(NOW, 0, 7) and zones.is_open(NOW, 1, 7)
+    zones.closed = frozenset({0})
+    assert not zones.is_open(NOW, 0, 7) and zones.is_open(NOW, 1, 7) and zones.state(NOW) == {0: 0.0, 1: 0.0}
+    zones.closed = frozenset()
     zones.heard(NOW + 1.0, 0, 1, 5.0)
     assert zones.is_open(NOW + 1.0, 0, 7) and not zones.is_open(NOW + 1.0, 1, 7)
     assert zones.is_open(NOW + TRY_EVERY, 1, 7)
