Withdraw what a client has asked in the moment in which it leaves

Seen (tests on real sockets, each red on the program before): a client that leaves while sixteen of its commands are out, while more bytes lie unread than are taken in, or while its answer waits for it to read, was not seen to leave; its requests stayed out, and were sent again when they failed. A failure told before the withdrawal had the module try again, and a connection that came up late was written to, while the message that the client had left lay in the mailbox.

At fault: ClientActor.read was the only one to see an end of file, and waits for room itself; run withdrew only once it got out of a write (up to STUCK, 10 s); Router._send and ServerActor._is_wanted knew of a withdrawal only after the router's turn. Ruled out: the pool and second copies, which look at request.over before they begin anything.

Change: the protocol of a client's connection tells of its end at once; a connection that is not read is asked of the system every 40 ms; the request is marked as withdrawn in the same step, and nothing is begun for it any more. A command that its client left behind unread is not begun either.

--- a/starlingthread/core/router.py
+++ b/starlingthread/core/router.py
@@ -71,6 +71,7 @@
     is_write: bool = False
     id: int = 0
     over: bool = False
+    withdrawn: bool = False  # whoever asked has left, and the message that says so is on its way: begin nothing more
     sends: int = 0
     out: int = 0
     guard: Deadline | None = None
@@ -290,7 +291,7 @@
         self._finish(request, Refused())
 
     def _asked(self, now: float, request: Taken) -> None:
-        if request.over:  # its client left while the message lay in the mailbox
+        if request.over or request.withdrawn:  # its client left while the message lay in the mailbox
             return
         self._last_id += 1
         request.id = self._last_id
@@ -384,7 +385,7 @@
         self.attempts[request.id].append(attempt)
         request.sends += 1
         request.out += 1
-        if request.over or request.sends > self.settings.max_attempts:
+        if request.over or request.withdrawn or request.sends > self.settings.max_attempts:
             self.mailbox.must_put(Ended(attempt, api.Result.MOOT))
             return
         self.counters.note("attempts.started")
--- a/starlingthread/net/clients.py
+++ b/starlingthread/net/clients.py
@@ -15,7 +15,7 @@
 from ..core.pipe import Pipe, Room
 from ..core.router import Answer, Gone, Refused, Router, Served, Taken, Whole
 from . import meta
-from .streams import read_at_most
+from .streams import ENDED, EndAwareProtocol, polled, read_at_most, send_at_once
 
 READ = 16384  # bytes read at once; twice as many may lie unread in a connection's reader
 MAX_PIPELINED = 16  # commands of one connection that may be without their answer; then it is not read
@@ -31,6 +31,7 @@
 SLOW = 500.0  # ms after which a command that is half here is no better than silence when descriptors are out
 MUTE = 100.0  # ms after which a connection that has said nothing is the first to go when descriptors are out
 LOOK_EVERY = 100.0  # ms between looks for connections that are idle, silent or midway
+LOOK_FOR_ENDS = 40.0  # ms between looks whether clients have left whose connections are not read; 100 are allowed
 BACKLOG = 1024  # connections that the system may hold for us
 ACCEPT = 16  # of them that are taken at once, so that what is closed for them is given back in between
 ANSWER_EARLY = 4.0  # ms; d runs from the client's send, and the answer has to travel back as well
@@ -81,7 +82,7 @@
         self.slots: deque[Slot] = deque()
         self.by_request: dict[Taken, Slot] = {}
         self.parser = meta.CommandParser()
-        self.ended = False  # the client has closed
+        self.ended = False  # the client has closed, or its connection is over
         self.closing = False  # we close once nothing is owed; what still comes until then is taken
         self.lost = False  # nobody knows where its next command begins
         self.room = asyncio.Event()
@@ -106,9 +107,11 @@
                         self._part(item)
                         continue
                     # Guards memory against a client that sends on and on without reading its answers.
-                    while len(self.slots) >= MAX_PIPELINED:
+                    while len(self.slots) >= MAX_PIPELINED and not self.ended:
                         self.room.clear()
                         await self.room.wait()
+                    if self.ended and len(self.slots) >= MAX_PIPELINED:
+                        return
                     self.began_at = None
                     self._take(item)
                     if self.lost:
@@ -122,11 +125,30 @@
                     self.began_at = self.front.clock.now()
         except OSError:
             self.front.counters.note("clients.reset")
-        self.ended = not self.lost
-        if self.ended and self.delivering is not None:
+        if not self.lost:
+            self.left()
+        self.mailbox.wake()
+
+    def left(self) -> None:
+        """The client has closed: withdraw at once what it has asked, whatever reader and writer wait for just now."""
+        if self.ended:
+            return
+        self.ended = True
+        for request in list(self.by_request):
+            self._leave(request)
+        if self.delivering is not None:
             self.delivering.abandon()
+        self.room.set()
         self.mailbox.wake()
 
+    def look_for_end(self) -> None:
+        """See whether the client has closed while its connection is not read, as it owes us room first."""
+        transport = self.writer.transport
+        if self.ended or transport.is_closing() or transport.is_reading():  # type: ignore[attr-defined]
+            return
+        if polled(self.writer, ENDED):
+            self.left()
+
     def _part(self, part: meta.Part) -> None:
         """Take in a piece of a value."""
         if self.body is None:
@@ -161,6 +183,7 @@
         """Have a request withdrawn that nobody waits for any more."""
         if self.by_request.pop(request, None) is None:
             return
+        request.withdrawn = True  # at once: the message that says so has others before it
         self._give_back_id(request)
         if request is not self.unasked:
             self.front.router.mailbox.must_put(Gone(request))
@@ -181,6 +204,9 @@
             front.counters.note("clients.malformed")
             self._spoil_body(item)
             return
+        if self.ended and isinstance(item, meta.Command):
+            front.counters.note("clients.left_unread")  # its client has closed: nobody waits for it
+            return
         slot = Slot()
         self.slots.append(slot)
         self.used_at = front.clock.now()
@@ -383,11 +409,7 @@
 
     def _has_unread_bytes(self) -> bool:
         """Ask the system whether bytes (or the client's close) wait to be read."""
-        if self.writer.transport.is_closing():
-            return False
-        waiting = select.poll()
-        waiting.register(self.writer.get_extra_info("socket"), select.POLLIN)
-        return bool(waiting.poll(0))
+        return polled(self.writer, select.POLLIN)
 
     async def _drain(self) -> None:
         """Wait for a slow reader, for a while: its answers take memory, and its connection a descriptor."""
@@ -403,8 +425,7 @@
             self.writer.transport.abort()
 
     def _reader_died(self) -> None:
-        self.ended = True
-        self.mailbox.wake()
+        self.left()
 
     def close(self) -> None:
         """The one place where a client's connection is given back; what is still out is withdrawn."""
@@ -455,13 +476,14 @@
         self.socket = inherited or bind(host, port)
         await self.resume()
         self._look()
+        self._look_for_ends()
 
     async def resume(self) -> None:
         """Accept, as at first or again."""
         assert self.socket is not None
         self.leaving = False
-        self._server = await asyncio.start_server(
-            self._accept, sock=self.socket.dup(), limit=READ, backlog=ACCEPT)
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: EndAwareProtocol(self._accept, READ), sock=self.socket.dup(), backlog=ACCEPT)
         # asyncio has one figure for both what the system holds and what is taken at once.
         self.socket.listen(BACKLOG)
 
@@ -472,6 +494,12 @@
             self._server.close()
             self._server = None
 
+    def _look_for_ends(self) -> None:
+        """Guards against requests that are begun for clients that have left, while their connections are not read."""
+        for actor in list(self.actors):
+            actor.look_for_end()
+        self.deadlines.set(self.clock.now() + LOOK_FOR_ENDS, self._look_for_ends)
+
     def _look(self) -> None:
         now = self.clock.now()
         crowded = len(self.actors) > self.comfortable * CROWDED
@@ -494,8 +522,12 @@
             writer.transport.abort()
             return
         read_at_most(writer, READ)
+        send_at_once(writer)
         actor = ClientActor(self, reader, writer)
         self.actors.add(actor)
+        protocol = writer.transport.get_protocol()
+        if isinstance(protocol, EndAwareProtocol):
+            protocol.on_end = actor.left
         self.watcher.start(actor.run(), "client", lambda _: actor.close())
 
     def _make_room(self) -> bool:
--- a/starlingthread/net/servers.py
+++ b/starlingthread/net/servers.py
@@ -227,7 +227,7 @@
             return True
         now = self.fleet.clock.now()
         # A request that ended meanwhile must not run, and one past the drain grace would break the drain.
-        if not job.wanted or job.request.over or now >= job.until:
+        if not job.wanted or job.request.over or job.request.withdrawn or now >= job.until:
             return False
         return self.shut_at is None or now <= self.shut_at + self.fleet.grace - DRAIN_MARGIN
 
--- /dev/null
+++ b/tests/peers.py
@@ -0,0 +1,221 @@
+"""Scripted peers on real sockets, and a whole router between them, all in one event loop.
+
+A script says what happens in which order: it waits for what a peer has received or for what the router's state shows,
+and lets the loop step until then. Nothing waits for a time to pass.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import socket
+import struct
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+from unittest.mock import Mock
+
+from starlingthread import __main__ as program
+from starlingthread.config import read_config
+
+LIMIT = 20.0  # s of real time in which anything that a script waits for must happen
+
+
+class Peer:
+    """One end of a TCP connection, with what a stream hides: half-close, reset, and bytes that are left unread."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.socket = sock
+        sock.setblocking(False)
+        self.unread = b""
+
+    async def send(self, data: bytes) -> None:
+        """Hand bytes to the system."""
+        await asyncio.wait_for(asyncio.get_running_loop().sock_sendall(self.socket, data), LIMIT)
+
+    async def receive(self) -> bytes:
+        """Return some bytes, none at the end of file; raise ConnectionResetError on a reset."""
+        return await asyncio.wait_for(asyncio.get_running_loop().sock_recv(self.socket, 65536), LIMIT)
+
+    async def until(self, end: bytes) -> bytes:
+        """Return what comes, up to and with an end."""
+        while end not in self.unread:
+            data = await self.receive()
+            assert data, f"ended without {end!r}: {self.unread!r}"
+            self.unread += data
+        at = self.unread.index(end) + len(end)
+        said, self.unread = self.unread[:at], self.unread[at:]
+        return said
+
+    async def rest(self) -> bytes:
+        """Return all that comes up to the end of file."""
+        while data := await self.receive():
+            self.unread += data
+        said, self.unread = self.unread, b""
+        return said
+
+    def half_close(self) -> None:
+        """Send an end of file and go on reading."""
+        self.socket.shutdown(socket.SHUT_WR)
+
+    def reset(self) -> None:
+        """Close with a reset."""
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.socket.close()
+
+    def close(self) -> None:
+        """Close; over unread bytes this is a reset."""
+        self.socket.close()
+
+
+class Listener:
+    """Where peers are reached. Connections come up by themselves and wait until a script accepts them."""
+
+    def __init__(self) -> None:
+        self.socket = socket.create_server(("127.0.0.1", 0))
+        self.socket.setblocking(False)
+        self.port = int(self.socket.getsockname()[1])
+        self.address = f"127.0.0.1:{self.port}"
+        self.accepted: list[Peer] = []
+
+    async def accept(self) -> Peer:
+        """Return the next connection."""
+        sock, _ = await asyncio.wait_for(asyncio.get_running_loop().sock_accept(self.socket), LIMIT)
+        self.accepted.append(Peer(sock))
+        return self.accepted[-1]
+
+    def close(self) -> None:
+        """Close it and all that it has accepted."""
+        for peer in self.accepted:
+            peer.close()
+        self.socket.close()
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Let the loop step until something holds."""
+    async with asyncio.timeout(LIMIT):
+        while not condition():
+            await asyncio.sleep(0)
+
+
+async def step(turns: int = 20) -> None:
+    """Let the loop take some turns."""
+    for _ in range(turns):
+        await asyncio.sleep(0)
+
+
+def entry(name: str, address: str, status: str = "in_service") -> dict[str, Any]:
+    """Return a cache server as discovery lists it."""
+    return {"name": name, "address": address, "zone": "a", "type": "k", "group": 0, "status": status,
+            "weight": 1.0, "since_ms": 0}
+
+
+def listing(index: int, *entries: dict[str, Any], full: bool = True, indent: int | None = None) -> bytes:
+    """Return a list as discovery writes it, without an end of line."""
+    return json.dumps({"index": index, "snapshot": full, "endpoints": entries}, indent=indent).encode()
+
+
+def chunk(data: bytes) -> bytes:
+    """Return a chunk of an answer that stays open."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+WATCHED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+CLASSES = [
+    {"name": "read", "effect": "repeatable", "promiseMs": 4000.0, "hardLimitMs": 9000.0},
+    {"name": "keyed", "effect": "by_key", "group": "all", "promiseMs": 4000.0, "hardLimitMs": 9000.0,
+     "memorySpanMs": 5000.0},
+    {"name": "once", "effect": "once", "promiseMs": 4000.0, "hardLimitMs": 9000.0},
+]
+
+
+class Stand:
+    """A router, its discovery and one cache server 's-1'; clients come as a script calls for them."""
+
+    def __init__(self, folder: Path, servers: int, change: dict[str, Any]) -> None:
+        self.discovery = Listener()
+        self.servers = [Listener() for _ in range(servers)]
+        self.path = folder / "config.json"
+        with socket.create_server(("127.0.0.1", 0)) as probe:
+            self.port = int(probe.getsockname()[1])
+        self.raw: dict[str, Any] = {
+            "name": "r", "listen": f"127.0.0.1:{self.port}", "discovery": self.discovery.address, "seed": "5",
+            "limits": {"cores": 1.0, "memory_mb": 80, "sockets": 256},
+            "known": {"index": 1, "snapshot": True, "endpoints": self.entries()},
+            "settings": {
+                "discovery": "subscribe", "zones": ["a"], "kinds": ["k"], "grades": CLASSES,
+                "permissions": {"tryLimit": 3, "cancel": True, "connectTimeoutMs": 2000.0, "mayDuplicate": True},
+                "rules": {"drainGraceMs": 1000.0, "askWithinMs": 1e9}}}
+        for place, value in change.items():
+            *parts, last = place.split(".")
+            inner = self.raw
+            for part in parts:
+                inner = inner[part]
+            inner[last] = value
+        self.path.write_text(json.dumps(self.raw))
+        self.program = program.Program(read_config(str(self.path)), Mock())
+        self.clients: list[Peer] = []
+
+    def entries(self) -> list[dict[str, Any]]:
+        """Return the cache servers as discovery lists them."""
+        return [entry(f"s-{n}", server.address) for n, server in enumerate(self.servers, 1)]
+
+    @property
+    def server(self) -> Listener:
+        """The first cache server."""
+        return self.servers[0]
+
+    @property
+    def router(self) -> Any:
+        """The module's actor."""
+        return self.program.router
+
+    @property
+    def counters(self) -> Any:
+        """The router's counters."""
+        return self.program.counters
+
+    async def client(self, taken: bool = True, room: int = 0) -> Peer:
+        """Connect as a client; return once the router has taken it in. 'room' is what its system takes for it."""
+        sock = socket.socket()
+        sock.setblocking(False)
+        if room:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, room)
+        await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", self.port))
+        self.clients.append(Peer(sock))
+        if taken:
+            await until(lambda: self.actor_of(self.clients[-1]) is not None)
+        return self.clients[-1]
+
+    def actor_of(self, client: Peer) -> Any:
+        """Return the router's actor of a client, None if there is none."""
+        name = client.socket.getsockname()
+        return next((a for a in self.program.front.actors if a.writer.get_extra_info("peername") == name), None)
+
+    def close(self) -> None:
+        """Close all peers."""
+        for peer in self.clients:
+            peer.close()
+        for listener in (self.discovery, *self.servers):
+            listener.close()
+
+
+@asynccontextmanager
+async def stand(folder: Path, servers: int = 1, wait: bool = True, **change: Any) -> AsyncIterator[Stand]:
+    """Run a router between scripted peers; 'change' names places of its file, as settings__discovery="automatic"."""
+    now = Stand(folder, servers, {place.replace("__", "."): value for place, value in change.items()})
+    thresholds = gc.get_threshold()
+    task = asyncio.create_task(now.program.run())
+    try:
+        if wait:
+            await until(lambda: now.program.serving or task.done())
+        yield now
+    finally:
+        now.close()
+        now.program.code = now.program.code or (0 if now.program.stop.is_set() else 1)  # ends at once
+        now.program.stop.set()
+        await asyncio.wait_for(task, LIMIT)
+        gc.unfreeze()
+        gc.set_threshold(*thresholds)
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,173 @@
+"""Two events that cross, on real sockets: who leaves, who closes, what is on its way just then."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from starlingthread.core.router import Ended
+from starlingthread.interface import Result
+from starlingthread.net import clients, servers
+from starlingthread.net.clients import MAX_PIPELINED
+
+from .peers import Peer, Stand, stand, step, until
+
+
+def read(number: int, key: str = "k", wait: float = 5000.0) -> bytes:
+    """Return a command that reads."""
+    return b"mg %b%d v O%d Pc=read,d=%d\r\n" % (key.encode(), number, number, wait)
+
+
+def value(number: int) -> bytes:
+    """Return a cache server's answer to it."""
+    return b"VA 1 O%d h1\r\nx\r\n" % number
+
+
+async def asked(now: Stand, number: int = 1) -> tuple[Peer, Peer]:
+    """Have a client ask, and the request reach the cache server; return both ends."""
+    client = await now.client()
+    await client.send(read(number))
+    server = await now.server.accept()
+    await server.until(b"\r\n")
+    return client, server
+
+
+# a client leaves
+
+
+@pytest.mark.parametrize("how", ["close", "reset", "half_close"])
+def test_a_client_that_leaves_while_its_connection_is_not_read_is_seen(tmp_path: Path, how: str) -> None:
+    """Its commands wait for room, so nobody reads on: what it asked was sent on, and again when it failed."""
+    async def play() -> None:
+        async with stand(tmp_path) as now:
+            client = await now.client()
+            await client.send(b"".join(read(n) for n in range(MAX_PIPELINED + 4)))
+            await until(lambda: now.counters["attempts.started"] == MAX_PIPELINED)
+            getattr(client, how)()
+            await until(lambda: now.counters["requests.withdrawn"] == MAX_PIPELINED)
+            await step()
+            assert now.counters["attempts.started"] == MAX_PIPELINED and not now.router.requests
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("how", ["close", "reset"])
+def test_a_client_that_sends_more_than_is_read_and_goes_is_seen(tmp_path: Path, how: str) -> None:
+    """Its end of file lies behind bytes that nobody reads, so only the system can tell of it."""
+    async def play() -> None:
+        async with stand(tmp_path) as now:
+            client = await now.client()
+            client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
+            await client.send(b"".join(read(n) for n in range(5000)))
+            transport: Any = now.actor_of(client).writer.transport
+            await until(lambda: not transport.is_reading())
+            getattr(client, how)()
+            await step()
+            now.router.clock._base += clients.LOOK_FOR_ENDS
+            now.router.mailbox.wake()
+            await until(lambda: now.counters["requests.withdrawn"] == MAX_PIPELINED)
+            await until(lambda: not now.program.front.actors)
+            assert now.counters["attempts.started"] == MAX_PIPELINED and not now.router.requests
+
+    asyncio.run(play())
+
+
+def test_a_client_that_leaves_while_its_answer_waits_for_it_to_read_is_seen(tmp_path: Path) -> None:
+    """The writer waited up to 10 s for it to read on, and its other requests went out meanwhile."""
+    async def play() -> None:
+        async with stand(tmp_path) as now:
+            client = await now.client(room=4096)
+            (actor,) = now.program.front.actors
+            actor.writer.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            actor.writer.transport.set_write_buffer_limits(0)
+            await client.send(read(1) + read(2))
+            first = await now.server.accept()
+            second = await now.server.accept()
+            said = {await peer.until(b"\r\n"): peer for peer in (first, second)}
+            (one,) = (peer for line, peer in said.items() if b" O1 " in line)
+            await one.send(b"VA 60000 O1 h1\r\n" + b"x" * 60000 + b"\r\n")
+            await until(lambda: actor.writer.transport.get_write_buffer_size() > clients.MAX_UNSENT
+                        and now.counters["attempts.ok"] == 1)
+            await step()
+            client.half_close()  # it reads nothing, so the writer goes on waiting
+            await until(lambda: now.counters["requests.withdrawn"] == 1)
+            assert not now.router.requests and actor in now.program.front.actors
+
+    asyncio.run(play())
+
+
+def test_nothing_is_begun_for_a_client_whose_withdrawal_is_still_in_the_mailbox(tmp_path: Path) -> None:
+    """A failure that was told before it had the module try again; the message that the client left came behind."""
+    async def play() -> None:
+        async with stand(tmp_path, 2) as now:
+            client, _ = await asked_any(now)
+            (request,) = now.router.requests.values()
+            (attempt,) = now.router.attempts[request.id]
+            (actor,) = now.program.front.actors
+            now.router.mailbox.must_put(Ended(attempt, Result.RESET))
+            actor.left()
+            began = now.counters["attempts.started"]
+            now.router.turn()
+            await until(lambda: not now.router.requests)
+            assert now.counters["attempts.started"] == began
+            client.close()
+
+    asyncio.run(play())
+
+
+async def asked_any(now: Stand) -> tuple[Peer, Peer]:
+    """Have a client ask; return its end, and that of whichever cache server was asked."""
+    client = await now.client()
+    await client.send(read(1))
+    await until(lambda: any(actor.busy for actor in now.program.fleet.actors.values()))
+    actor = next(actor for actor in now.program.fleet.actors.values() if actor.busy)
+    (listener,) = (s for s in now.servers if s.port == actor.address[1])
+    server = await listener.accept()
+    await server.until(b"\r\n")
+    return client, server
+
+
+def test_nothing_is_written_on_a_connection_that_comes_up_after_the_client_left(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with stand(tmp_path) as now:
+            held: list[servers.Opened] = []
+            (server,) = now.program.fleet.actors.values()
+            tell = server._tell
+
+            def hold(message: Any) -> None:
+                held.append(message) if isinstance(message, servers.Opened) else tell(message)
+
+            server._tell = hold  # type: ignore[method-assign]
+            client = await now.client()
+            await client.send(read(1))
+            await until(lambda: bool(held))
+            (actor,) = now.program.front.actors
+            request = next(iter(actor.by_request))
+            request.withdrawn = True  # the client has left; the router has not taken that in
+            tell(held[0])
+            await until(lambda: now.counters["attempts.moot"] == 1)
+            peer = await now.server.accept()
+            await step()
+            with pytest.raises(BlockingIOError):
+                peer.socket.recv(100)
+            client.close()
+
+    asyncio.run(play())
+
+
+def test_a_command_that_its_client_left_behind_is_not_begun(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with stand(tmp_path) as now:
+            client = await now.client()
+            (actor,) = now.program.front.actors
+            actor.left()
+            await client.send(read(1))
+            await until(lambda: not now.program.front.actors)
+            await step()
+            assert now.counters["attempts.started"] == 0 and not now.router.requests
+
+    asyncio.run(play())
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -35,7 +35,7 @@
 
     def __init__(self) -> None:
         self.sent = bytearray()
-        self.gone = False
+        self.gone = self.paused = False
         self.unsent = 0
 
     def is_closing(self) -> bool:
@@ -47,6 +47,12 @@
     def abort(self) -> None:
         self.gone = True
 
+    def get_protocol(self) -> None:
+        return None
+
+    def is_reading(self) -> bool:
+        return not self.gone and not self.paused
+
     def pause_reading(self) -> None:
         self.paused = True
 
