Read to a client's end of file behind our own before closing its connection

At fault: ClientActor.close closes the socket over what lies unread there. Ruled out: bytes that came before the close is decided on (_has_nothing_unread takes them), and connections to cache servers, which are closed at once on purpose so that no rest of a request leaves.

Change: half-close in the same step in which nothing is owed or unread, then read and throw away up to the client's end of file, for 500 ms and 1 MiB at most. Who lingers goes first when descriptors are out; what is closed for its descriptor does not linger.

--- a/starlingthread/net/clients.py
+++ b/starlingthread/net/clients.py
@@ -35,6 +35,8 @@
 BACKLOG = 1024  # connections that the system may hold for us
 ACCEPT = 16  # of them that are taken at once, so that what is closed for them is given back in between
 ANSWER_EARLY = 4.0  # ms; d runs from the client's send, and the answer has to travel back as well
+LINGER = 500.0  # ms for which we read on after our end of file: a close over unread bytes would reset the connection
+LINGER_BYTES = 1 << 20  # bytes that are thrown away meanwhile at most
 IDLE_ROUNDS = 0.05  # s between looks at what is still open, at the end
 
 
@@ -85,6 +87,8 @@
         self.ended = False  # the client has closed, or its connection is over
         self.closing = False  # we close once nothing is owed; what still comes until then is taken
         self.lost = False  # nobody knows where its next command begins
+        self.hurried = False  # its descriptor is wanted: no lingering
+        self.lingering = False  # our end of file is sent, and what still comes belongs to nothing
         self.room = asyncio.Event()
         self.used_at = front.clock.now()
         self.began_at: float | None = None  # when the command that is not whole yet began
@@ -254,7 +258,7 @@
 
     def look(self, now: float, crowded: bool) -> None:
         """Close what is silent, midway or idle for too long: it holds a descriptor and memory for nothing."""
-        if self.lost or self.ended:
+        if self.lost or self.ended or self.lingering:
             return
         if self.began_at is not None:
             waits_for_us = len(self.slots) >= MAX_PIPELINED or (self.body is not None and self.body[2].is_full())
@@ -269,6 +273,8 @@
 
     def spare(self, now: float) -> tuple[int, float] | None:
         """Return its rank among those that may go when descriptors are out, least first; None if it stays."""
+        if self.lingering:
+            return (-1, self.used_at)
         if self.slots or self.closing or self.lost or self.ended:
             return None
         if self.began_at is not None:
@@ -282,7 +288,10 @@
 
     def make_room(self) -> None:
         """Close, as somebody else needs the descriptor; a command that is half here is answered."""
-        if self.began_at is None:
+        self.hurried = True
+        if self.lingering:
+            self.writer.transport.abort()
+        elif self.began_at is None:
             self.shut_when_idle()
         else:
             self._unfinished()
@@ -338,27 +347,55 @@
         """Write answers in order until the client has closed, or until we have and nothing is owed."""
         reading = self.front.watcher.start(self.read(), "client-reader", lambda _: self._reader_died())
         try:
-            while True:
-                for slot, parts in self.mailbox.take():
-                    slot.parts = parts
-                while self.slots and (ready := self.slots[0].parts) is not None:
-                    await self._write(self.slots[0], ready)
-                    slot = self.slots.popleft()
-                    self._hold(slot, 0)
-                    self.room.set()
-                    if slot.last:
-                        return
-                    # Right behind an answer no request can be on its way yet, unless the client sends several at once.
-                    self.closing = self.closing or self.front.leaving
-                if self.ended or (self._is_over() and await self._has_nothing_unread()):
-                    return
-                await self.mailbox.wait()
+            await self._answer_all()
+            reading.cancel()
+            if not self.ended and not self.hurried and not self.writer.transport.is_closing():
+                await self._linger(reading)
         except OSError:
             self.front.counters.note("clients.reset")
         finally:
             reading.cancel()
             self.close()
 
+    async def _answer_all(self) -> None:
+        """Return once nothing more is to be written."""
+        while True:
+            for slot, parts in self.mailbox.take():
+                slot.parts = parts
+            while self.slots and (ready := self.slots[0].parts) is not None:
+                await self._write(self.slots[0], ready)
+                slot = self.slots.popleft()
+                self._hold(slot, 0)
+                self.room.set()
+                if slot.last:
+                    return
+                # Right behind an answer no request can be on its way yet, unless the client sends several at once.
+                self.closing = self.closing or self.front.leaving
+            if self.ended or (self._is_over() and await self._has_nothing_unread()):
+                return
+            await self.mailbox.wait()
+
+    async def _linger(self, reading: asyncio.Task[None]) -> None:
+        """Send our end of file and read to the client's, within bounds; what still comes belongs to nothing.
+
+        Guards the last answers: a close over unread bytes resets the connection, and what the client has not read yet
+        is lost with it. A request that comes now crossed our end of file, so its client sends it again elsewhere.
+        """
+        self.lingering = True
+        self.used_at = self.front.clock.now()
+        transport = self.writer.transport
+        self.writer.write_eof()  # in the same step in which nothing more was owed or lay unread
+        span = STUCK if transport.get_write_buffer_size() else LINGER  # what is unsent goes out before it
+        limit = self.front.deadlines.set(self.used_at + span, transport.abort)
+        try:
+            await asyncio.gather(reading, return_exceptions=True)  # it has given up the stream then
+            transport.resume_reading()  # type: ignore[attr-defined]
+            left = LINGER_BYTES
+            while left > 0 and (data := await self.reader.read(READ)):
+                left -= len(data)
+        finally:
+            self.front.deadlines.clear(limit)
+
     async def _write(self, slot: Slot, parts: tuple[bytes, ...]) -> None:
         """Write one answer; a large one part by part, so that a client has little unsent at any time."""
         self.used_at = self.front.clock.now()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -171,3 +171,86 @@
             assert now.counters["attempts.started"] == 0 and not now.router.requests
 
     asyncio.run(play())
+
+
+# we close
+
+
+def test_small_answers_leave_at_once(tmp_path: Path) -> None:
+    """What the system holds back is lost with a reset; of accepted sockets asyncio does not see that they are TCP."""
+    async def play() -> None:
+        async with stand(tmp_path) as now:
+            socket_of_ours = now.actor_of(await now.client()).writer.get_extra_info("socket")
+            assert socket_of_ours.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+    asyncio.run(play())
+
+
+def test_the_last_answer_arrives_though_more_lies_unread_behind_its_command(tmp_path: Path) -> None:
+    """A close over unread bytes is a reset, and takes what the client has not read yet with it."""
+    async def play() -> None:
+        async with stand(tmp_path) as now:
+            client = await now.client()
+            await client.send(b"mn\r\nms k nine O1\r\n" + b"x" * 60000)
+            actor = now.actor_of(client)
+            await until(lambda: actor.lingering)
+            await client.send(b"x" * 60000)
+            assert await client.rest() == b"MN\r\nCLIENT_ERROR bad data length\r\n"
+            client.half_close()
+            await until(lambda: not now.program.front.actors)
+
+    asyncio.run(play())
+
+
+async def resting(now: Stand) -> Peer:
+    """Return a client that has had an answer and rests."""
+    client = await now.client()
+    await client.send(b"mn\r\n")
+    assert await client.until(b"\r\n") == b"MN\r\n"
+    return client
+
+
+def test_a_request_that_crosses_our_end_of_file_is_not_begun_and_not_answered_by_a_reset(tmp_path: Path) -> None:
+    """Its client sends it again elsewhere: sent on as well, it would run twice, and its answer be lost."""
+    async def play() -> None:
+        async with stand(tmp_path) as now:
+            client = await resting(now)
+            now.actor_of(client).shut_when_idle()
+            assert await client.receive() == b""  # our end of file
+            await client.send(read(1))
+            await step()
+            assert now.counters["requests.taken"] == 0 and len(now.program.front.actors) == 1
+            client.half_close()
+            await until(lambda: not now.program.front.actors)
+            assert await client.receive() == b"" and now.counters["attempts.started"] == 0
+
+    asyncio.run(play())
+
+
+def test_a_client_that_never_closes_in_turn_is_let_go(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with stand(tmp_path) as now:
+            client = await resting(now)
+            now.actor_of(client).shut_when_idle()
+            assert await client.receive() == b""
+            await step()
+            assert now.program.front.actors
+            now.router.clock._base += clients.LINGER
+            now.router.mailbox.wake()
+            await until(lambda: not now.program.front.actors)
+
+    asyncio.run(play())
+
+
+def test_who_lingers_makes_room_before_anybody_else(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with stand(tmp_path) as now:
+            first, other = await resting(now), await resting(now)
+            now.actor_of(first).shut_when_idle()
+            assert await first.receive() == b""
+            now.program.front.most = 2
+            await now.client()
+            await until(lambda: now.actor_of(first) is None)
+            assert now.actor_of(other) is not None
+
+    asyncio.run(play())
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -66,6 +66,7 @@
     def __init__(self) -> None:
         self.transport = Transport()
         self.mine, self.other = socket.socketpair()  # bytes that lie in the system, unread by the program
+        self.on_eof: Callable[[], None] = lambda: None  # what the other side does about our end of file
 
     def get_extra_info(self, name: str) -> socket.socket:
         return self.mine
@@ -78,6 +79,9 @@
         while self.transport.unsent and not self.transport.gone:
             await asyncio.sleep(0)
 
+    def write_eof(self) -> None:
+        self.on_eof()
+
     def close(self) -> None:
         self.transport.gone = True
         self.mine.close()
@@ -95,6 +99,7 @@
         self.router, self.watcher = place.router, Watcher()
         self.front = Front(THROUGH, self.router, self.watcher, 10, 8, 1 << 20, lambda: place.router.listed)
         self.reader, self.writer = asyncio.StreamReader(), Writer()
+        self.writer.on_eof = self.reader.feed_eof  # it closes in turn
         self.actor = ClientActor(self.front, self.reader, self.writer)  # type: ignore[arg-type]
         self.front.actors.add(self.actor)
         self.watcher.start(self.actor.run(), "client", lambda _: None)
