Answer everything that was taken before a process ends, and take what waits to be accepted

Seen (tests, red without the change): connections that wait in the system as the listening socket closes are reset, those that asyncio has taken in the same turn as well (its server asserts that it is open); a request with a deadline beyond 4.5 s that is out at SIGTERM gets no answer, as LAST_ANSWERS runs out; one that comes late on a connection that still owes something is sent on with its whole deadline, past the moment in which the process is killed.

At fault: Front.drain closes the socket without a look at it; Program.run ends after LAST_ANSWERS whatever is out. Ruled out: requests that are read after the connections to cache servers are closed, as those are closed last.

Change: accept until nothing waits; wait for the longest deadline of the settings if that is longer; what is out then is answered as failed. What comes after the listening socket has closed is given until the end of the process at most.

--- a/starlingthread/__main__.py
+++ b/starlingthread/__main__.py
@@ -36,7 +36,10 @@
 LOOK_EVERY = 100.0  # ms between looks at what another process excludes: well within a grace
 HEAR = 2.0  # s for which a new process waits to hear discovery before it says yes
 CLIENTS, PEERS = "clients", "peers"  # uses of the sockets that are handed over
-LAST_ANSWERS = 4.5  # s after that in which what was taken may be finished
+LAST_ANSWERS = 4.5  # s after that in which what was taken may be finished; the longest deadline, if that is longer
+LAST_SPAN, SPARED = 3000.0, 700.0  # ms; a process that ends lives for the longest deadline, this at most, and this
+ANSWER_SOONER = 150.0  # ms before that end by which requests that come late are answered
+LAST_WORDS = 1.0  # s after that in which what still is out is answered as failed
 COLLECT_EVERY = 10000.0  # ms between full collections of garbage
 USUAL_SIZE = 20.0  # MB that the program takes at rest, where the system does not tell
 # What a running router can't take over from a new file: bound sockets and limits; and what files must hold.
@@ -241,6 +244,19 @@
         self.counters["gc.longest_ms"] = max(self.counters["gc.longest_ms"], math.ceil(ended - began))
         self.router.deadlines.set(ended + COLLECT_EVERY, self._collect)
 
+    async def _finish(self) -> None:
+        """Finish what was taken. A request that nobody answered is lost, so the last are answered as failed."""
+        longest = max(cls.deadline for cls in self.router.settings.classes)
+        answer_by = self.router.clock.now() + min(longest, LAST_SPAN) + SPARED - ANSWER_SOONER
+        await asyncio.sleep(STILL_ACCEPTING)
+        try:
+            await asyncio.wait_for(self.front.drain(answer_by), max(LAST_ANSWERS, longest / 1000.0))
+        except TimeoutError:
+            log.warning("stopped-late", **{"requests.open": len(self.router.requests)})
+            self.router.fail_all()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.front.drain(answer_by), LAST_WORDS)
+
     async def run(self) -> int:
         """Serve until a signal, then finish what was taken."""
         loop = asyncio.get_running_loop()
@@ -284,11 +300,7 @@
         await self.stop.wait()
         if self.code == 0:
             log.info("stopping", **{"requests.open": len(self.router.requests)})
-            await asyncio.sleep(STILL_ACCEPTING)
-            try:
-                await asyncio.wait_for(self.front.drain(), LAST_ANSWERS)
-            except TimeoutError:
-                log.warning("stopped-late", **{"requests.open": len(self.router.requests)})
+            await self._finish()
         self.handover.close()
         self.management.close()
         self.fleet.close()
--- a/starlingthread/core/router.py
+++ b/starlingthread/core/router.py
@@ -285,6 +285,12 @@
             self.counters.note("requests.mailbox_full")
             self._finish(request, Refused())
 
+    def fail_all(self) -> None:
+        """Give every request that is owed an answer its final one: this process ends."""
+        for request in list(self.requests.values()):
+            self._finish(request, Failed())
+            self._handle(api.Withdrawn(request.id))
+
     def refuse(self, request: Taken) -> None:
         """Take a request and refuse it unseen, as there is no memory to hold it."""
         self.telemetry.taken()
--- a/starlingthread/net/clients.py
+++ b/starlingthread/net/clients.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import hashlib
+import math
 import select
 import socket
 from collections import deque
@@ -37,6 +38,8 @@
 ANSWER_EARLY = 4.0  # ms; d runs from the client's send, and the answer has to travel back as well
 LINGER = 500.0  # ms for which we read on after our end of file: a close over unread bytes would reset the connection
 LINGER_BYTES = 1 << 20  # bytes that are thrown away meanwhile at most
+LAST_ACCEPTS = 1000  # looks at the connections that wait for us before the listening socket is closed
+SETTLED = 2  # turns in which none came, after which those that were taken have become connections
 IDLE_ROUNDS = 0.05  # s between looks at what is still open, at the end
 
 
@@ -171,7 +174,7 @@
         if slot.held_back is not None:
             self._answer(slot, slot.held_back)
         elif not request.over and isinstance(request.payload, meta.Command):
-            wait = min(request.payload.wait, request.cls.deadline)
+            wait = min(request.payload.wait, request.cls.deadline, self.front.answer_by - now)
             self.front.router.mailbox.must_put(Whole(request, now + wait - ANSWER_EARLY))
 
     def _spoil_body(self, item: meta.Bad) -> None:
@@ -227,7 +230,8 @@
                 self._malformed(slot, meta.bad("id in use"))
                 return
             front.open_ids.add(item.id)
-            wait = min(item.wait, cls.deadline)  # nobody waits longer than the class lets them
+            # Nobody waits longer than the class lets them, nor than a process that ends lives.
+            wait = min(item.wait, cls.deadline, front.answer_by - self.used_at)
             body = Pipe(front.room) if item.in_pieces else None
             wait = wait if body is None else BODY
             request = Taken(
@@ -501,6 +505,7 @@
         self.open_ids: set[bytes] = set()  # of the requests that are owed an answer
         self.actors: set[ClientActor] = set()
         self.leaving = False  # connections are closed behind their answers, as another process takes new ones
+        self.answer_by = math.inf  # clock time by which requests that come from now on are answered
         self.socket: socket.socket | None = None  # ours for good, whether we accept or not
         self._server: asyncio.Server | None = None
 
@@ -581,10 +586,33 @@
         actor.make_room()
         return True
 
-    async def drain(self) -> None:
-        """Accept no more; close each connection once nothing is owed on it; return when all are closed."""
+    async def _accept_last(self) -> None:
+        """Take in the connections that wait for us: they would be reset as the listening socket closes.
+
+        Those that were taken become connections of ours some turns later, and are lost if the server is closed before.
+        """
+        if self.socket is None or self._server is None:
+            return
+        waiting = select.poll()
+        waiting.register(self.socket, select.POLLIN)
+        settled = 0
+        for _ in range(LAST_ACCEPTS):
+            settled = 0 if waiting.poll(0) else settled + 1
+            if settled > SETTLED:
+                return
+            await asyncio.sleep(0)
+
+    async def drain(self, answer_by: float = math.inf) -> None:
+        """Accept no more; close each connection once nothing is owed on it; return when all are closed.
+
+        answer_by: clock time by which requests that come from now on, on connections that still owe something, are
+        answered.
+        """
+        self.answer_by = answer_by
+        await self._accept_last()
         if self._server is not None:
             self._server.close()
+            self._server = None
         if self.socket is not None:
             self.socket.close()
         while self.actors:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from starlingthread import __main__ as program
 from starlingthread.core.router import Ended
 from starlingthread.interface import Result
 from starlingthread.net import clients, servers
@@ -254,3 +255,80 @@
             assert now.actor_of(other) is not None
 
     asyncio.run(play())
+
+
+# a process ends
+
+
+def test_connections_that_wait_when_the_listening_socket_closes_are_served(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """They are reset with it, and so were those that were taken but had not become connections yet."""
+    monkeypatch.setattr(program, "STILL_ACCEPTING", 0.0)
+
+    async def play() -> None:
+        async with stand(tmp_path) as now:
+            now.program.stop.set()
+            peers = []
+            for number in range(60):  # in one step of the loop: nobody accepts meanwhile
+                sock = socket.create_connection(("127.0.0.1", now.port))
+                sock.sendall(read(number))
+                peers.append(Peer(sock))
+            now.clients += peers
+            for _ in peers:
+                server = await now.server.accept()
+                line = await server.until(b"\r\n")
+                await server.send(value(int(line.split(b" O")[1].split()[0])))
+            assert [await peer.until(b"x\r\n") for peer in peers] == [
+                b"VA 1 O%d\r\nx\r\n" % number for number in range(60)]
+
+    asyncio.run(play())
+
+
+def test_what_comes_late_on_a_connection_that_owes_something_is_answered_before_the_process_must_be_gone(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(program, "STILL_ACCEPTING", 0.0)
+
+    async def play() -> None:
+        async with stand(tmp_path) as now:
+            client, _ = await asked(now)
+            now.program.stop.set()
+            await until(lambda: now.program.front._server is None)
+            await client.send(read(2))
+            late = await now.server.accept()
+            wait = float((await late.until(b"\r\n")).split(b"d=")[1])
+            assert 3000.0 < wait < program.LAST_SPAN + program.SPARED
+
+    asyncio.run(play())
+
+
+def test_what_nobody_answers_before_the_process_ends_is_answered_as_failed(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(program, "STILL_ACCEPTING", 0.0)
+    monkeypatch.setattr(program, "LAST_ANSWERS", 0.05)
+
+    async def play() -> None:
+        async with stand(tmp_path) as now:
+            client, _ = await asked(now)
+            classes = tuple(cls._replace(deadline=1.0) for cls in now.router.settings.classes)
+            now.router.settings = now.router.settings._replace(classes=classes)
+            now.program.stop.set()
+            assert await client.rest() == b"SERVER_ERROR failed\r\n"
+
+    asyncio.run(play())
+
+
+def test_the_longest_deadline_is_waited_for(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A class may have a longer one than a process usually takes to end."""
+    monkeypatch.setattr(program, "STILL_ACCEPTING", 0.0)
+    monkeypatch.setattr(program, "LAST_ANSWERS", 0.0)
+
+    async def play() -> None:
+        async with stand(tmp_path) as now:
+            client, server = await asked(now)
+            now.program.stop.set()
+            await until(lambda: now.program.front._server is None)
+            await step(200)
+            await server.send(value(1))
+            assert await client.rest() == b"VA 1 O1\r\nx\r\n"
+
+    asyncio.run(play())
