Watch pushed lists without being asked, and read lists however they are written

By tests, red without the change: lists that are written over several lines or lack their last line's end were not read; a watch that fell silent was given up after 3.0 s, with up to 0.75 s of pause behind it; a failure told late had the module open a watch that was open, which waits in turn once more; a list that drips kept a watch for good.

At fault: RegistryActor (nothing opens a watch unless the module asks; _lines splits at line ends before it parses; one figure for the silence of all calls; "watch" always cancels the call that is out). Ruled out: the module, which takes lists well whatever its settings say of discovery, and bytes of an old watch after a move, which are never taken in.

Change: where lists are pushed the registry keeps a watch open itself, and a new process hears it before it takes clients (2 s at most). What comes on a watch is split by braces; a list that is spoilt ends the call, and what came before it counts. A watch that has told something is broken after 2.5 s of silence, unless we look late ourselves.

--- a/starlingthread/__main__.py
+++ b/starlingthread/__main__.py
@@ -76,7 +76,8 @@
         self.exclusions = Exclusions(shared, self._excluded)
         self.fleet = ServerFleet(config.settings, self.router, self.watcher, 0, config.idle_close)
         self.registry = RegistryActor(
-            self.router, ListReader(config.zones, config.kinds), config.discovery, self.watcher)
+            self.router, ListReader(config.zones, config.kinds), config.discovery, self.watcher,
+            pushed=not config.settings.must_ask)
         self.peers = PeerActor(self.router, config.peers, config.peers_all, config.settings.me)
         self.members = MemberActor(self.router, self.peers, config.settings.me)
         self.failover = FailoverActor(self.router, self.peers, self.members, config.settings.me)
@@ -203,7 +204,7 @@
         self.router.retune(new.settings)
         self.front.retune(new.settings)
         self.fleet.retune(new.settings, new.idle_close)
-        self.registry.retune(new.zones, new.kinds)
+        self.registry.retune(new.zones, new.kinds, pushed=not new.settings.must_ask)
         # Always asked anew: whatever discovery has to tell counts as told soon, wherever it is now.
         self.registry.move(new.discovery)
         self.peers.move(new.peers, new.peers_all)
@@ -273,8 +274,8 @@
         if self.config.management is not None:
             await self.management.listen(*self.config.management)
         await self.handover.begin()
-        if self.handover.inheritance is not None:
-            # What discovery tells binds soon after our yes, so we hear it first; no herd asks with us.
+        if self.handover.inheritance is not None or self.registry.pushed:
+            # What discovery tells binds soon after our yes (where lists are pushed, at once), so we hear it first.
             self.registry.watch(True)
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.router.heard.wait(), HEAR)
--- a/starlingthread/net/registry.py
+++ b/starlingthread/net/registry.py
@@ -5,7 +5,9 @@
 import asyncio
 import hashlib
 import json
-from collections.abc import Collection
+import re
+from collections.abc import Collection, Iterator
+from random import Random
 from typing import Any, NamedTuple, TypeAlias
 
 import h11
@@ -16,9 +18,14 @@
 from ..core.router import Listed, Router
 from ..logs import log
 
-SILENCE = 3000.0  # ms without a byte after which a call has failed; a watch says something every 2 s
+SILENCE = 3000.0  # ms without a byte after which a call has failed
+WATCH_SILENCE = 2500.0  # ms without a byte after which a watch that has told something is broken: it does so every 2 s
+OWN_LATE = 10.0  # ms after which we look late at a silence: what came meanwhile may lie unread
+UNFINISHED = 3000.0  # ms in which a list on a watch must be whole from its first byte on
 CONNECT = 1000.0  # ms in which discovery must accept; a machine that is gone says nothing at all
 MAX_LINE = 4 << 20  # bytes of one list
+AGAIN = 300.0  # ms; mean pause before a watch that nobody else asks for again is opened anew, doubled with each failure
+MAX_AGAIN_DOUBLED = 2  # times that it is doubled
 STATES = {
     "in_service": api.ServerState.READY, "terminating": api.ServerState.DRAINING,
     "terminated": api.ServerState.GONE,
@@ -30,6 +37,49 @@
     """Discovery said something that is no list."""
 
 
+class Objects:
+    """Splits what comes on a watch into JSON objects by their braces, in whatever cuts it comes.
+
+    A list may be written over many lines, and the last one before a break may lack its end of line. Raises ListError
+    on what can't be part of an object, so that a list that is spoilt does not swallow the ones behind it.
+    """
+
+    TOKEN = re.compile(rb'"(?:[^"\\\n]|\\[^\n])*"|["{}]')
+
+    def __init__(self) -> None:
+        self._bytes = bytearray()
+        self._at = self._depth = 0  # up to where it was looked at, and how many braces are open there
+
+    def __len__(self) -> int:
+        return len(self._bytes)
+
+    def is_midway(self) -> bool:
+        """Whether an object has begun and is not whole."""
+        return self._depth > 0
+
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        """Take in some bytes; give the objects that are whole by now."""
+        self._bytes += data
+        while (token := self.TOKEN.search(self._bytes, self._at)) is not None:
+            if self._depth == 0 and (token[0] != b"{" or self._bytes[:token.start()].strip()):
+                raise ListError("not an object")
+            if token[0] == b'"':  # a string that is not closed yet, nor ever if its line has ended
+                if b"\n" in self._bytes[token.end():]:
+                    raise ListError("a string that does not end")
+                break
+            self._at = token.end()
+            self._depth += (token[0] == b"{") - (token[0] == b"}")
+            if self._depth == 0:
+                whole = bytes(self._bytes[:self._at])
+                del self._bytes[:self._at]
+                self._at = 0
+                yield whole
+        if self._depth == 0:
+            if self._bytes.strip():
+                raise ListError("not an object")
+            self._bytes.clear()
+
+
 class Ids:
     """Server ids: from the name alone, so the same at every router and after every restart."""
 
@@ -112,8 +162,10 @@
     """Asks discovery when the module says so, and tells the module what came of it."""
 
     def __init__(self, router: Router, reader: ListReader, address: tuple[str, int],
-                 watcher: Watcher) -> None:
+                 watcher: Watcher, pushed: bool = False) -> None:
         self.router, self.reader, self.address, self.watcher = router, reader, address, watcher
+        self.pushed = pushed  # lists come without the module's asking, so it never asks: the watch is ours to keep open
+        self._failures, self._rng = 0, Random()  # failures in a row; the pauses after them keep routers out of step
         self.clock, self.counters, self.deadlines = router.clock, router.counters, router.deadlines
         self.mailbox: Mailbox[Message] = Mailbox(100)
         self.index = 0  # version of the list that the module has
@@ -127,8 +179,10 @@
         """How many servers the list that the module has names, those that drain among them."""
         return len(self._listed)
 
-    def retune(self, zones: tuple[str, ...], kinds: tuple[str, ...]) -> None:
+    def retune(self, zones: tuple[str, ...], kinds: tuple[str, ...], pushed: bool = False) -> None:
         """Number zones and kinds anew, where they have changed: the next call asks for the whole list."""
+        self.pushed = pushed
+        self.wanted = self.wanted or pushed
         reader = ListReader(zones, kinds)
         if (reader.zones, reader.kinds) != (self.reader.zones, self.reader.kinds):
             self.reader.zones, self.reader.kinds, self.index = reader.zones, reader.kinds, 0
@@ -162,6 +216,8 @@
 
     async def run(self) -> None:
         """Take what the module asks for."""
+        if self.pushed:
+            self.watch(True)
         while True:
             for message in self.mailbox.take():
                 self._take_in(message)
@@ -172,6 +228,7 @@
             self.address = message.address
             # Guards against a watch at the old address that lives on or ends later: neither its lists nor its
             # end are told any more. What was asked there is asked anew, as its answer may never come.
+            self._stop_watching()
             fetches = len(self._fetching)
             for task in self._fetching:
                 task.cancel()
@@ -182,12 +239,16 @@
             task = self._call(LIST_PATH, watch=False)
             self._fetching.add(task)
             task.add_done_callback(self._fetching.discard)
-        else:
-            if self._watching is not None:
-                self._watching.cancel()
-                self._watching = None
-            if message == "watch":
-                self._watching = self._call(f"{LIST_PATH}?watch=1&after={self.index}", watch=True)
+        elif message == "stop":
+            self._stop_watching()
+        elif self._watching is None or self._watching.done():
+            # One that is open is left open: it has its own clock for silence, and a new call would wait in turn again.
+            self._watching = self._call(f"{LIST_PATH}?watch=1&after={self.index}", watch=True)
+
+    def _stop_watching(self) -> None:
+        if self._watching is not None:
+            self._watching.cancel()
+            self._watching = None
 
     def _call(self, path: str, watch: bool) -> asyncio.Task[None]:
         self.counters.note("registry.watches" if watch else "registry.fetches")
@@ -199,35 +260,49 @@
         log.info("registry-failed", why=why)
         self.router.mailbox.must_put(
             Listed(api.MemberList(api.ListKind.FAILED, self.index), {}))
+        if self.pushed:
+            pause = AGAIN * (1 << min(self._failures, MAX_AGAIN_DOUBLED)) * self._rng.uniform(0.5, 1.5)
+            self._failures += 1
+            self.deadlines.set(self.clock.now() + pause, self._watch_again)
+
+    def _watch_again(self) -> None:
+        if self.pushed and self.wanted:
+            self.watch(True)
 
     async def _speak(self, path: str, watch: bool) -> None:
         """Make one call. It ends with a list told, or with one failure told; a watch goes on in between."""
         task = asyncio.current_task()
         assert task is not None
         silence: Deadline | None = None
-        silent = False
+        silent = told = False
         writer: asyncio.StreamWriter | None = None
 
-        def too_silent() -> None:
+        def wait(span: float) -> None:
+            nonlocal silence
+            self.deadlines.clear(silence)
+            due = self.clock.now() + span
+            silence = self.deadlines.set(due, lambda: too_silent(due))
+
+        def too_silent(due: float) -> None:
             nonlocal silent
+            if self.clock.now() - due > OWN_LATE:  # what came while we stood still is read first
+                return wait(2 * OWN_LATE)
             silent = True
             task.cancel()
 
         def heard() -> None:
-            nonlocal silence
-            self.deadlines.clear(silence)
-            silence = self.deadlines.set(self.clock.now() + SILENCE, too_silent)
+            wait(WATCH_SILENCE if told else SILENCE)
 
         try:
             address = self.address
-            silence = self.deadlines.set(self.clock.now() + CONNECT, too_silent)
+            wait(CONNECT)
             stream, writer = await asyncio.open_connection(*address)
             heard()
             http = h11.Connection(h11.CLIENT)
             host = f"{address[0]}:{address[1]}"
             writer.write(http.send(h11.Request(method="GET", target=path, headers=[("Host", host)])) or b"")
             writer.write(http.send(h11.EndOfMessage()) or b"")
-            rest = bytearray()
+            rest, objects, began_at = bytearray(), Objects(), 0.0
             while True:
                 event = http.next_event()
                 if event is h11.NEED_DATA:
@@ -237,10 +312,19 @@
                 elif isinstance(event, h11.Response) and event.status_code != 200:
                     return self._failed(f"status {event.status_code}")
                 elif isinstance(event, h11.Data):
-                    rest += event.data
-                    if watch:
-                        self._lines(rest)
-                    if len(rest) > MAX_LINE:
+                    if not watch:
+                        rest += event.data
+                    else:
+                        was_midway = objects.is_midway()
+                        for text in objects.feed(bytes(event.data)):
+                            self._tell(text)
+                            was_midway = False
+                        told = True  # an empty line tells too: that nothing has changed
+                        heard()
+                        began_at = began_at if was_midway else self.clock.now()
+                        if objects.is_midway() and self.clock.now() - began_at > UNFINISHED:
+                            return self._failed("list not finished")
+                    if len(rest) + len(objects) > MAX_LINE:
                         return self._failed("list too long")
                 elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
                     if watch or isinstance(event, h11.ConnectionClosed):
@@ -257,13 +341,6 @@
             if writer is not None:
                 writer.transport.abort()
 
-    def _lines(self, rest: bytearray) -> None:
-        while (end := rest.find(b"\n")) >= 0:
-            line = bytes(rest[:end]).strip()
-            del rest[:end + 1]
-            if line:
-                self._tell(line)
-
     def _tell(self, text: bytes) -> None:
         try:
             raw = json.loads(text)
@@ -280,5 +357,6 @@
         told = {m.server for m in event.members} - gone
         self._listed = told if event.kind != api.ListKind.DELTA else (self._listed | told) - gone
         self.reader.ids.keep(self._listed)
+        self._failures = 0
         self.counters.note("registry.lists")
         self.router.mailbox.must_put(listing)
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,262 @@
+"""Lists and watches on real sockets, each crossing forced by a scripted discovery."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from starlingthread.interface import ServerState
+from starlingthread.net import registry
+from starlingthread.net.registry import LIST_PATH, ListError, Objects
+
+from .peers import WATCHED, Peer, Stand, chunk, entry, listing, stand, step, until
+
+
+def states(now: Stand) -> dict[str, ServerState]:
+    """Return what the module believes of each server, by name."""
+    known = {now.program.registry.reader.ids.of(e["name"]): e["name"] for e in now.entries()}
+    return {known[n]: s.line.state for n, s in now.router.module.servers.items() if n in known}
+
+
+async def watched(now: Stand) -> Peer:
+    """Accept a watch and answer its head."""
+    peer = await now.discovery.accept()
+    assert (await peer.until(b"\r\n\r\n")).startswith(f"GET {LIST_PATH}?watch=1".encode())
+    await peer.send(WATCHED)
+    return peer
+
+
+def ask(now: Stand) -> None:
+    """Have the module ask for changes now, not at its random moment."""
+    now.program.registry.watch(True)
+
+
+# pushed lists
+
+
+def test_a_pushed_list_is_watched_without_the_modules_asking_and_before_clients_come(tmp_path: Path) -> None:
+    """Guards the drain: what the agent has counts as told from the first moment, and nobody ever watched."""
+    async def play() -> None:
+        async with stand(tmp_path, 2, wait=False, settings__discovery="automatic") as now:
+            watch = await watched(now)
+            assert not now.program.serving
+            one, two = now.entries()
+            await watch.send(chunk(listing(2, {**one, "status": "terminating"}, two) + b"\n"))
+            await until(lambda: now.program.serving)
+            assert states(now) == {"s-1": ServerState.DRAINING, "s-2": ServerState.READY}
+
+    asyncio.run(play())
+
+
+def test_a_pushed_watch_that_ends_is_opened_anew_at_once(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play() -> None:
+        async with stand(tmp_path, 2, wait=False, settings__discovery="automatic") as now:
+            watch = await watched(now)
+            await watch.send(chunk(listing(2, *now.entries()) + b"\n"))
+            await until(lambda: now.program.serving)
+            monkeypatch.setattr(registry, "AGAIN", 0.0)
+            watch.reset()
+            again = await watched(now)
+            one, _ = now.entries()
+            await again.send(chunk(listing(3, {**one, "status": "terminating"}, full=False) + b"\n"))
+            await until(lambda: states(now)["s-1"] == ServerState.DRAINING)
+
+    asyncio.run(play())
+
+
+def test_a_process_whose_agent_is_silent_serves_from_the_list_last_known(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards the start while discovery is down: nine in ten must be ready within 10 s."""
+    monkeypatch.setattr("starlingthread.__main__.HEAR", 0.01)
+
+    async def play() -> None:
+        async with stand(tmp_path, settings__discovery="automatic") as now:
+            assert now.program.ready()
+
+    asyncio.run(play())
+
+
+# how a list is written
+
+
+@pytest.mark.parametrize("indent", [None, 1, 4])
+@pytest.mark.parametrize("end", [b"\n", b"\r\n", b""])
+def test_a_list_counts_however_it_is_written_and_cut(tmp_path: Path, indent: int | None, end: bytes) -> None:
+    """It may come on many lines, and nothing says that the last one ends."""
+    async def play() -> None:
+        async with stand(tmp_path, 2) as now:
+            ask(now)
+            watch = await watched(now)
+            one, two = now.entries()
+            text = listing(2, {**one, "status": "terminating"}, two, indent=indent) + end
+            for at in range(0, len(text), 7):
+                await watch.send(chunk(text[at:at + 7]))
+            await until(lambda: states(now)["s-1"] == ServerState.DRAINING)
+            await watch.send(chunk(b"\n\n" + listing(3, one, full=False, indent=indent)))
+            await until(lambda: states(now)["s-1"] == ServerState.READY)
+            assert now.counters["registry.failures"] == 0
+
+    asyncio.run(play())
+
+
+def test_changes_before_a_reset_count_and_a_half_list_does_not(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with stand(tmp_path, 2) as now:
+            ask(now)
+            watch = await now.discovery.accept()
+            await watch.until(b"\r\n\r\n")
+            one, two = ({**e, "status": "terminating"} for e in now.entries())
+            await watch.send(b"HTTP/1.1 200 OK\r\n\r\n")  # no length: it ends with the connection
+            await watch.send(listing(2, one, full=False) + listing(3, two, full=False)[:-9])
+            await until(lambda: states(now)["s-1"] == ServerState.DRAINING)
+            watch.reset()
+            await until(lambda: now.counters["registry.failures"] == 1)
+            await step()
+            assert states(now)["s-2"] == ServerState.READY
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("spoilt", [b'{"index": "\n', b"nonsense\n", b'{"index": 1}}', b"[1]\n", b'"a"\n', b"{]}"])
+def test_a_list_that_is_spoilt_ends_the_call_and_what_came_before_it_counts(tmp_path: Path, spoilt: bytes) -> None:
+    """Guards against waiting for the end of what never ends, with changes lying behind it."""
+    async def play() -> None:
+        async with stand(tmp_path, 2) as now:
+            ask(now)
+            watch = await watched(now)
+            one, _ = now.entries()
+            good = listing(2, {**one, "status": "terminating"}, full=False) + b"\n"
+            await watch.send(chunk(good + spoilt))
+            await until(lambda: states(now)["s-1"] == ServerState.DRAINING)
+            await until(lambda: now.counters["registry.failures"] == 1)
+
+    asyncio.run(play())
+
+
+def test_a_list_that_drips_is_given_up(tmp_path: Path) -> None:
+    """It says something all the time, so the clock for silence never ends it."""
+    async def play() -> None:
+        async with stand(tmp_path) as now:
+            ask(now)
+            watch = await watched(now)
+            await watch.send(chunk(b'{"index": 1,'))
+            await step()
+            now.router.clock._base += registry.UNFINISHED / 2  # no silence is that long
+            await watch.send(chunk(b" "))
+            await step()
+            now.router.clock._base += registry.UNFINISHED / 2 + 1.0
+            await watch.send(chunk(b" "))
+            await until(lambda: now.counters["registry.failures"] == 1)
+
+    asyncio.run(play())
+
+
+TEXT = st.text(st.characters(codec="utf-8"), max_size=6)
+VALUES = st.recursive(TEXT | st.integers() | st.none(), lambda inner: st.lists(
+    inner, max_size=3) | st.dictionaries(TEXT, inner, max_size=3), max_leaves=8)
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(st.lists(st.tuples(st.dictionaries(TEXT, VALUES, max_size=3), st.sampled_from([None, 0, 2]), st.sampled_from(
+    [b"", b"\n", b"\r\n \n"])), max_size=4), st.integers(1, 40))
+def test_objects_come_out_as_they_went_in_whatever_the_cuts(
+        written: list[tuple[dict[str, object], int | None, bytes]], size: int) -> None:
+    text = b"".join(json.dumps(o, indent=indent).encode() + end for o, indent, end in written)
+    objects = Objects()
+    found = [json.loads(o) for at in range(0, len(text), size) for o in objects.feed(text[at:at + size])]
+    assert found == [o for o, _, _ in written] and not objects.is_midway() and not len(objects)
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(st.lists(st.binary(max_size=12) | st.sampled_from([b"{", b"}", b'"', b"\\", b"\n", b'{"a":1}']), max_size=12))
+def test_no_bytes_raise_anything_but_a_list_error(parts: list[bytes]) -> None:
+    objects = Objects()
+    try:
+        for part in parts:
+            list(objects.feed(part))
+    except ListError:
+        return
+    assert len(objects) <= len(b"".join(parts))
+
+
+# silence
+
+
+def test_a_watch_that_falls_silent_is_opened_anew_within_the_time_that_is_left(tmp_path: Path) -> None:
+    """What it misses counts as told 6 s after it fell silent."""
+    async def play() -> None:
+        async with stand(tmp_path) as now:
+            ask(now)
+            watch = await watched(now)
+            await watch.send(chunk(b"\n"))
+            await until(lambda: now.counters["registry.watches"] == 1)
+            await step()
+            now.router.clock._base += 2400.0  # it says something every 2 s
+            now.router.mailbox.wake()
+            await step()
+            assert now.counters["registry.failures"] == 0
+            for _ in range(200):  # in small steps, as a look that is late by itself does not count
+                now.router.clock._base += 1.0
+                now.router.mailbox.wake()
+                await step(3)
+            assert now.counters["registry.failures"] == 1
+
+    asyncio.run(play())
+
+
+def test_a_silence_that_we_look_at_too_late_is_none(tmp_path: Path) -> None:
+    """After we stood still what came meanwhile lies unread: it is read before the watch is given up."""
+    async def play() -> None:
+        async with stand(tmp_path, 2) as now:
+            ask(now)
+            watch = await watched(now)
+            await watch.send(chunk(b"\n"))
+            await step()
+            one, _ = now.entries()
+            now.router.clock._base += 5000.0
+            await watch.send(chunk(listing(2, {**one, "status": "terminating"}, full=False)))
+            now.router.deadlines.sweep(now.router.clock.now())
+            await until(lambda: states(now)["s-1"] == ServerState.DRAINING)
+            assert now.counters["registry.failures"] == 0
+
+    asyncio.run(play())
+
+
+def test_a_watch_that_is_open_is_not_opened_again(tmp_path: Path) -> None:
+    """A failure of an older call may have the module ask once more, and a new call waits in turn anew."""
+    async def play() -> None:
+        async with stand(tmp_path, 2) as now:
+            ask(now)
+            watch = await watched(now)
+            ask(now)
+            await step()
+            one, _ = now.entries()
+            await watch.send(chunk(listing(2, {**one, "status": "terminating"}, full=False)))
+            await until(lambda: states(now)["s-1"] == ServerState.DRAINING)
+            assert now.counters["registry.watches"] == 1
+
+    asyncio.run(play())
+
+
+def test_bytes_of_an_old_watch_after_a_move_are_not_taken(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with stand(tmp_path, 2) as now:
+            ask(now)
+            old = await watched(now)
+            await old.send(chunk(b"\n"))
+            await step()
+            await old.send(chunk(listing(9, entry("s-1", "127.0.0.1:1", "terminating"), full=False)))
+            now.program.registry.move(("127.0.0.1", now.discovery.port))  # before the loop has read that
+            new = await watched(now)
+            await new.send(chunk(listing(2, *now.entries())))
+            await until(lambda: now.counters["registry.lists"] >= 1)
+            await step()
+            assert states(now)["s-1"] == ServerState.READY and now.program.registry.index == 2
+            assert now.counters["registry.failures"] == 0
+
+    asyncio.run(play())
