Fail a request whose class is gone by the time that it is asked, not the process

Seen (test, red without the change): a value of 100 KB whose class vanishes by SIGHUP between its head and its pieces ended the module's actor by a KeyError, and the process with it. At fault: Router._asked looks the class up by name when enough of the value is here, after the new settings. Ruled out: whole requests, which come before the new settings in the mailbox, and what is out under an older class table (a test shows that it ends as it began). Change: such a request is answered as failed.

--- a/starlingthread/core/router.py
+++ b/starlingthread/core/router.py
@@ -304,12 +304,14 @@
         self.requests[request.id] = request
         self.attempts[request.id] = []
         self.counters.note("requests.taken")
-        if request.ends <= now:
+        number = self._numbers.get(request.cls.name)
+        if request.ends <= now or number is None:
+            # It came too late, or its class is gone since: a value in pieces is asked for some time after its head.
             self._finish(request, Failed())
             return
         request.guard = self.deadlines.set(request.ends + OVERDUE, lambda: self._overdue(request))
         self._handle(api.Request(
-            request.id, self._numbers[request.cls.name], min(request.ends - now, request.cls.deadline),
+            request.id, number, min(request.ends - now, request.cls.deadline),
             request.key, cost=request.hint, size=request.size, single=request.body is not None,
             is_retry=request.is_retry, is_write=request.is_write,
             waited=now - request.came_at if self.full else 0.0), now)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import socket
 from pathlib import Path
 from typing import Any
@@ -15,7 +16,7 @@
 from starlingthread.net import clients, servers
 from starlingthread.net.clients import MAX_PIPELINED
 
-from .peers import Peer, Stand, stand, step, until
+from .peers import CLASSES, Peer, Stand, stand, step, until
 
 
 def read(number: int, key: str = "k", wait: float = 5000.0) -> bytes:
@@ -332,3 +333,47 @@
             assert await client.rest() == b"VA 1 O1\r\nx\r\n"
 
     asyncio.run(play())
+
+
+# settings change
+
+
+def test_a_class_that_is_gone_once_enough_of_a_value_is_here_costs_that_request_alone(tmp_path: Path) -> None:
+    """The module's actor ended by it, and the process with it."""
+    async def play() -> None:
+        async with stand(tmp_path) as now:
+            client = await now.client()
+            await client.send(b"ms k 100000 O1 Pc=keyed,d=5000\r\n")
+            actor = now.actor_of(client)
+            await until(lambda: actor.unasked is not None)
+            now.raw["settings"]["grades"] = CLASSES[:1]
+            now.path.write_text(json.dumps(now.raw))
+            now.program.config = now.program.config._replace(shape={})
+            now.program.reload()
+            await client.send(b"x" * 100000 + b"\r\n")
+            assert await client.until(b"\r\n") == b"SERVER_ERROR failed\r\n"
+            await client.send(read(2))
+            server = await now.server.accept()
+            await server.until(b"\r\n")
+            await server.send(value(2))
+            assert await client.until(b"x\r\n") == b"VA 1 O2\r\nx\r\n"
+
+    asyncio.run(play())
+
+
+def test_requests_of_an_older_class_table_end_as_they_began(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with stand(tmp_path) as now:
+            client = await now.client()
+            await client.send(b"ms k 1 O1 Pc=once,d=5000\r\nx\r\n")
+            server = await now.server.accept()
+            await server.until(b"x\r\n")
+            now.raw["settings"]["grades"] = [{**CLASSES[2], "effect": "repeatable"}]
+            now.path.write_text(json.dumps(now.raw))
+            now.program.config = now.program.config._replace(shape={})
+            now.program.reload()
+            server.reset()
+            assert await client.until(b"\r\n") == b"SERVER_ERROR failed\r\n"  # it may have run, and must not again
+            assert now.counters["attempts.started"] == 1 and now.counters["module.errors"] == 0
+
+    asyncio.run(play())
