Write no repeat of a keyed request once its window is over

Seen (tests, red without the change): a keyed request was sent again within the window in which servers drop repeats, its connection took the rest of the window to come up, and it was written all the same, when its first run was forgotten. At fault: the module looks at memorySpanMs when it decides (Balancer._drops_repeat), ServerActor._is_wanted not at all. Ruled out: the window's start, which is the decision for the first attempt and so never later than its write; and what must never run twice, which is not sent again at all.

--- a/starlingthread/core/router.py
+++ b/starlingthread/core/router.py
@@ -87,6 +87,7 @@
     server: int
     sent_at: float
     until: float  # clock time at which we stop waiting for it
+    before: float = math.inf  # clock time from which on it must not be written any more
     wanted: bool = True  # false once it has its outcome: whoever is about to write it must not
     limit: Deadline | None = None
 
@@ -389,7 +390,7 @@
             self.counters.note("attempts.unknown_request")
             return
         until = min(now + action.timeout, request.ends) if action.timeout else request.ends
-        attempt = Attempt(request, request.sends, action.server, now, until)
+        attempt = Attempt(request, request.sends, action.server, now, until, action.before)
         self.attempts[request.id].append(attempt)
         request.sends += 1
         request.out += 1
--- a/starlingthread/interface.py
+++ b/starlingthread/interface.py
@@ -248,6 +248,7 @@
     id: int
     server: int
     timeout: float = 0.0  # 0: until the client gives up
+    before: float = math.inf  # clock time from which on it must not be written any more, as a repeat would run again
 
 
 class Refuse(NamedTuple):
--- a/starlingthread/net/servers.py
+++ b/starlingthread/net/servers.py
@@ -33,6 +33,7 @@
 OWN_LATE = 10.0  # ms after which we look late at something that is due
 REST = 3.0  # ms for which a connection rests before it is used again, if another one is at hand
 DOUBT = 50.0  # ms after an answer in which a 'busy' may be a stray line behind it
+ON_ITS_WAY = 5.0  # ms that a write takes at least until a server has it
 PROBE_WAIT = 50.0  # ms in which a probe must be answered
 NOTES = {"h1": api.Note.HIT, "h0": api.Note.MISS, "h0 Z": api.Note.FETCH_OUT}
 
@@ -229,6 +230,9 @@
         # A request that ended meanwhile must not run, and one past the drain grace would break the drain.
         if not job.wanted or job.request.over or job.request.withdrawn or now >= job.until:
             return False
+        # The window in which a server drops repeats runs on while a connection comes up.
+        if now + ON_ITS_WAY >= job.before:
+            return False
         return self.shut_at is None or now <= self.shut_at + self.fleet.grace - DRAIN_MARGIN
 
     def _start(self, job: Attempt | Probing) -> None:
--- a/starlingthread/policy.py
+++ b/starlingthread/policy.py
@@ -442,9 +442,11 @@
         effect = tracked.cls.effect
         if tracked.out and (not self.set.second_copies or effect == Effect.UNSAFE):
             return False  # rule 2
+        before = math.inf
         if effect != Effect.REPEATABLE and tracked.ran_at >= 0:  # rule 2: an earlier one may have run
             if effect == Effect.UNSAFE or not self._drops_repeat(now, tracked, server):
                 return False
+            before = tracked.ran_at + tracked.cls.memory_span
         if server is not self.origin and not self._warm_enough(now, server, tracked):
             return False  # rule 4
         cost = self._cost(tracked, server)
@@ -456,7 +458,7 @@
         server.budget.spend(self._heavy(tracked))
         if effect == Effect.KEYED and tracked.ran_at < 0:
             tracked.ran_at, tracked.ran_on, tracked.ran_by = now, server.line.server, len(tracked.tries) - 1
-        self.todo.append(Send(tracked.req.id, server.line.server, timeout))
+        self.todo.append(Send(tracked.req.id, server.line.server, timeout, before))
         return True
 
     # second copies
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -335,6 +335,41 @@
     asyncio.run(play())
 
 
+# retries
+
+
+def test_a_repeat_whose_connection_comes_up_after_the_window_is_not_written(tmp_path: Path) -> None:
+    """The module decided within the window in which servers drop repeats; the connection took the rest of it."""
+    async def play() -> None:
+        grades = [{**CLASSES[1], "memorySpanMs": 1500.0}]
+        async with stand(tmp_path, settings__grades=grades) as now:
+            client = await now.client()
+            await client.send(b"ms k 1 O1 Pc=keyed,d=5000\r\nx\r\n")
+            first = await now.server.accept()
+            await first.until(b"x\r\n")
+            (actor,) = now.program.fleet.actors.values()
+            held: list[servers.Opened] = []
+            tell = actor._tell
+
+            def hold(message: Any) -> None:
+                held.append(message) if isinstance(message, servers.Opened) else tell(message)
+
+            actor._tell = hold  # type: ignore[method-assign]
+            first.reset()  # it may have run
+            await until(lambda: bool(held))
+            assert now.counters["attempts.started"] == 2
+            now.router.clock._base += 1500.0
+            tell(held[0])
+            await until(lambda: now.counters["attempts.moot"] >= 1)
+            second = await now.server.accept()
+            await step()
+            with pytest.raises(BlockingIOError):
+                second.socket.recv(100)
+            assert await client.until(b"\r\n") == b"SERVER_ERROR failed\r\n"
+
+    asyncio.run(play())
+
+
 # settings change
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -481,7 +481,7 @@
     assert (idle := Held()).take(servers.Broken(idle.connection)) == [] and not idle.actor.idle
 
 
-@pytest.mark.parametrize("spoil", ["unwanted", "over", "late", "drained"])
+@pytest.mark.parametrize("spoil", ["unwanted", "over", "withdrawn", "late", "repeat", "drained"])
 def test_nothing_is_written_that_is_not_to_be_any_more(spoil: str) -> None:
     """Guards the moment before a write: time passed since the module decided."""
     held, job = (h := Held()), h.attempt()
@@ -489,6 +489,10 @@
         job.wanted = False
     elif spoil == "over":
         job.request.over = True
+    elif spoil == "withdrawn":
+        job.request.withdrawn = True
+    elif spoil == "repeat":
+        job.before = held.place.clock.time + 4.0  # it would come to the server when that has forgotten the first one
     elif spoil == "late":
         held.place.clock.time += 401.0
     else:
