--- a/tests/peers.py
+++ b/tests/peers.py
@@ -73,8 +73,8 @@
 class Listener:
     """Where peers are reached. Connections come up by themselves and wait until a script accepts them."""
 
-    def __init__(self) -> None:
-        self.socket = socket.create_server(("127.0.0.1", 0))
+    def __init__(self, port: int = 0) -> None:
+        self.socket = socket.create_server(("127.0.0.1", port))
         self.socket.setblocking(False)
         self.port = int(self.socket.getsockname()[1])
         self.address = f"127.0.0.1:{self.port}"
@@ -93,6 +93,22 @@
         self.socket.close()
 
 
+async def connect(port: int, room: int = 0) -> Peer:
+    """Connect as a client; 'room' is what its system takes for it."""
+    sock = socket.socket()
+    sock.setblocking(False)
+    if room:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, room)
+    await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", port))
+    return Peer(sock)
+
+
+def free_port() -> int:
+    """Return a port that nobody listens at."""
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        return int(probe.getsockname()[1])
+
+
 async def until(condition: Callable[[], bool]) -> None:
     """Let the loop step until something holds."""
     async with asyncio.timeout(LIMIT):
@@ -138,8 +154,7 @@
         self.discovery = Listener()
         self.servers = [Listener() for _ in range(servers)]
         self.path = folder / "config.json"
-        with socket.create_server(("127.0.0.1", 0)) as probe:
-            self.port = int(probe.getsockname()[1])
+        self.port = free_port()
         self.raw: dict[str, Any] = {
             "name": "r", "listen": f"127.0.0.1:{self.port}", "discovery": self.discovery.address, "seed": "5",
             "limits": {"cores": 1.0, "memory_mb": 80, "sockets": 256},
@@ -179,12 +194,7 @@
 
     async def client(self, taken: bool = True, room: int = 0) -> Peer:
         """Connect as a client; return once the router has taken it in. 'room' is what its system takes for it."""
-        sock = socket.socket()
-        sock.setblocking(False)
-        if room:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, room)
-        await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", self.port))
-        self.clients.append(Peer(sock))
+        self.clients.append(await connect(self.port, room))
         if taken:
             await until(lambda: self.actor_of(self.clients[-1]) is not None)
         return self.clients[-1]
