Let no reload that is asked for while a process starts end it or get lost

Seen (tests, red without the change): SIGHUP before the loop has taken its handlers ends the program by the signal's own effect, a crash of a router that was just being started anew; and one between the read of the file and the handlers would have been lost. At fault: main and Program.run, which install handlers only once all is wired; the interpreter's start lies before any line of ours. Ruled out: SIGTERM, whose own effect at that time is what is asked for.

--- a/starlingthread/__main__.py
+++ b/starlingthread/__main__.py
@@ -66,6 +66,7 @@
         self.config, self.writer, self.counters, self.watcher = config, writer, Counters(), Watcher()
         self.stop = asyncio.Event()
         self.serving = False  # the clients' listener is bound
+        self.early: list[int] = []  # signals that came before the loop could take them
         self.code = 0
         self.router = Router(config.settings, config.seed, Clock(), Deadlines(), self.counters)
         self.router.cores = config.cores
@@ -265,6 +266,8 @@
             loop.add_signal_handler(number, self.stop.set)
         loop.add_signal_handler(signal.SIGUSR1, self.summary)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
+        if signal.SIGHUP in self.early:
+            loop.call_soon(self.reload)
         if self.config.known is not None:
             self.registry.known(self.config.known)
         self._look_at_exclusions()
@@ -315,6 +318,11 @@
 
 def main() -> int:
     """Run the router; one plain line on standard error and 1 if it can't start."""
+    # Before the file is read: a signal that came earlier tells nothing new, one that comes later must not be lost, and
+    # none may end a process that is just starting.
+    early: list[int] = []
+    for number in (signal.SIGHUP, signal.SIGUSR1):
+        signal.signal(number, lambda came, _: early.append(came))
     try:
         if not os.environ.get("LB_CONFIG"):
             raise ConfigError("LB_CONFIG names no file")
@@ -341,7 +349,9 @@
             log.warning("handover-failed", why=repr(error))  # we bind beside the old process then
 
     async def serve() -> int:
-        return await Program(config, writer, inheritance, own).run()
+        program = Program(config, writer, inheritance, own)
+        program.early = early
+        return await program.run()
 
     try:
         return asyncio.run(serve())
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -4,7 +4,13 @@
 
 import asyncio
 import json
+import os
+import signal
 import socket
+import subprocess
+import sys
+import threading
+import tomllib
 from pathlib import Path
 from typing import Any
 
@@ -16,7 +22,7 @@
 from starlingthread.net import clients, servers
 from starlingthread.net.clients import MAX_PIPELINED
 
-from .peers import CLASSES, Peer, Stand, stand, step, until
+from .peers import CLASSES, LIMIT, Peer, Stand, free_port, stand, step, until
 
 
 def read(number: int, key: str = "k", wait: float = 5000.0) -> bytes:
@@ -412,3 +418,34 @@
             assert now.counters["attempts.started"] == 1 and now.counters["module.errors"] == 0
 
     asyncio.run(play())
+
+
+def test_a_reload_that_is_asked_for_while_the_process_starts_neither_ends_it_nor_is_lost(tmp_path: Path) -> None:
+    """The signal's own effect ends a program; the file may have been read just before it."""
+    deploy = tomllib.loads((Path(__file__).parent.parent / "deploy" / "balancer.toml").read_text())
+    command = deploy["run"].replace(".venv/bin/python", sys.executable)
+    path, port = tmp_path / "config.json", free_port()
+    os.mkfifo(path)  # opening it waits for the other side, so the process is held where it reads its file
+    config = {"listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:1", "settings": {
+        "grades": CLASSES, "permissions": {}, "rules": {"drainGraceMs": 1.0, "askWithinMs": 1e9}}}
+    with subprocess.Popen(["/bin/sh", "-c", command], stderr=subprocess.PIPE, text=True,
+                          env={**os.environ, "LB_CONFIG": str(path)}) as router:
+        assert router.stderr is not None
+        watchdog = threading.Timer(LIMIT, router.kill)
+        watchdog.start()
+        with path.open("w") as file:
+            router.send_signal(signal.SIGHUP)
+            file.write(json.dumps(config))
+            new = tmp_path / "new.json"
+            new.write_text(json.dumps({**config, "discovery": "127.0.0.1:2"}))
+            new.replace(path)  # what it has open is the old one
+        assert any("reloaded discovery=127.0.0.1:2" in line for line in router.stderr)
+        watchdog.cancel()
+        router.kill()
+
+
+def test_a_signal_before_the_process_can_read_its_file_does_not_end_it() -> None:
+    """The interpreter takes some 0.1 s before any line of ours runs."""
+    deploy = tomllib.loads((Path(__file__).parent.parent / "deploy" / "balancer.toml").read_text())
+    held = deploy["run"].replace("exec ", "kill -HUP $$; kill -USR1 $$; exec true || exec ", 1)
+    assert subprocess.run(["/bin/sh", "-c", held], check=False, timeout=LIMIT).returncode == 0
