--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -190,6 +190,11 @@
         async with stand(tmp_path) as now:
             socket_of_ours = now.actor_of(await now.client()).writer.get_extra_info("socket")
             assert socket_of_ours.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+            await asked(now)
+            (actor,) = now.program.fleet.actors.values()
+            (connection,) = actor.busy.values()
+            to_server = connection.writer.get_extra_info("socket")
+            assert to_server.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
 
     asyncio.run(play())
 
