--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -5,7 +5,7 @@
 import pytest
 
 from starlingthread.interface import (
-    Fail, ListKind, Member, MemberList, Note, Outcome, Refuse, Request, Result, ServerState,
+    Fail, ListKind, Member, MemberList, Note, Outcome, Refuse, Request, Result, ServerState, Withdrawn,
 )
 
 from .world import ASIDE, KEYED, ORIGIN, READ, THROUGH, UNSAFE, World, answers, members, only_send, sends
@@ -152,6 +152,15 @@
     assert not sends(world.pass_time(900.0))
 
 
+def test_what_its_client_has_left_gets_no_second_copy() -> None:
+    world = World(COPIES)
+    warmed_up(world)
+    first = only_send(world.ask(7))
+    world.pass_time(324.0)  # a copy is due 1 ms later
+    world.do(Withdrawn(first.id))
+    assert not sends(world.pass_time(700.0))
+
+
 def test_a_long_request_at_a_server_that_answers_others_gets_no_second_copy() -> None:
     """Where servers work on whatever became of a request, three copies in a hundred were a tenth of all work."""
     world = World(COPIES)
