--- a/starlingthread/net/clients.py
+++ b/starlingthread/net/clients.py
@@ -116,6 +116,7 @@
                     # Guards memory against a client that sends on and on without reading its answers.
                     while len(self.slots) >= MAX_PIPELINED and not self.ended:
                         self.room.clear()
+                        self.front.look_for_end(self)
                         await self.room.wait()
                     if self.ended and len(self.slots) >= MAX_PIPELINED:
                         return
@@ -128,6 +129,7 @@
                 elif self.began_at is None or self.body is not None:
                     self.began_at = self.front.clock.now()
                 if self.body is not None and self.body[2].is_full():
+                    self.front.look_for_end(self)
                     await self.body[2].until_room()
                     self.began_at = self.front.clock.now()
         except OSError:
@@ -148,13 +150,14 @@
         self.room.set()
         self.mailbox.wake()
 
-    def look_for_end(self) -> None:
-        """See whether the client has closed while its connection is not read, as it owes us room first."""
+    def look_for_end(self) -> bool:
+        """See whether the client has closed while its reader waits; False once that is no question any more."""
         transport = self.writer.transport
-        if self.ended or transport.is_closing() or transport.is_reading():  # type: ignore[attr-defined]
-            return
-        if polled(self.writer, ENDED):
+        if self.ended or transport.is_closing():
+            return False
+        if not transport.is_reading() and polled(self.writer, ENDED):  # type: ignore[attr-defined]
             self.left()
+        return not self.ended and (len(self.slots) >= MAX_PIPELINED or self.body is not None)
 
     def _part(self, part: meta.Part) -> None:
         """Take in a piece of a value."""
@@ -504,6 +507,7 @@
         self.retune(settings)
         self.open_ids: set[bytes] = set()  # of the requests that are owed an answer
         self.actors: set[ClientActor] = set()
+        self.unread: set[ClientActor] = set()  # whose readers wait, so that their connections may not be read
         self.leaving = False  # connections are closed behind their answers, as another process takes new ones
         self.answer_by = math.inf  # clock time by which requests that come from now on are answered
         self.socket: socket.socket | None = None  # ours for good, whether we accept or not
@@ -518,7 +522,6 @@
         self.socket = inherited or bind(host, port)
         await self.resume()
         self._look()
-        self._look_for_ends()
 
     async def resume(self) -> None:
         """Accept, as at first or again."""
@@ -536,11 +539,19 @@
             self._server.close()
             self._server = None
 
+    def look_for_end(self, actor: ClientActor) -> None:
+        """Have the system asked now and then whether a client has left whose reader waits.
+
+        Guards against requests that are begun for such clients: their connections may not be read at all.
+        """
+        if not self.unread:
+            self.deadlines.set(self.clock.now() + LOOK_FOR_ENDS, self._look_for_ends)
+        self.unread.add(actor)
+
     def _look_for_ends(self) -> None:
-        """Guards against requests that are begun for clients that have left, while their connections are not read."""
-        for actor in list(self.actors):
-            actor.look_for_end()
-        self.deadlines.set(self.clock.now() + LOOK_FOR_ENDS, self._look_for_ends)
+        self.unread = {actor for actor in self.unread if actor.look_for_end()}
+        if self.unread:
+            self.deadlines.set(self.clock.now() + LOOK_FOR_ENDS, self._look_for_ends)
 
     def _look(self) -> None:
         now = self.clock.now()
--- a/starlingthread/net/registry.py
+++ b/starlingthread/net/registry.py
@@ -47,6 +47,8 @@
 
     TOKEN = re.compile(rb'"(?:[^"\\\n]|\\[^\n])*"|["{}]')
 
+    TWO = re.compile(rb"}\s*{")  # the end of an object and the begin of the next one, or part of a string
+
     def __init__(self) -> None:
         self._bytes = bytearray()
         self._at = self._depth = 0  # up to where it was looked at, and how many braces are open there
@@ -58,9 +60,22 @@
         """Whether an object has begun and is not whole."""
         return self._depth > 0
 
+    def _whole_lines(self) -> Iterator[bytes]:
+        """Give what is plainly one object a line, the usual way, without a look at each of its parts."""
+        while (end := self._bytes.find(b"\n")) >= 0:
+            line = bytes(self._bytes[:end]).strip()
+            is_one = line.startswith(b"{") and line.endswith(b"}") and line.count(b"{") == line.count(b"}")
+            if line and (not is_one or self.TWO.search(line)):
+                return
+            del self._bytes[:end + 1]
+            if line:
+                yield line
+
     def feed(self, data: bytes) -> Iterator[bytes]:
         """Take in some bytes; give the objects that are whole by now."""
         self._bytes += data
+        if self._depth == 0:
+            yield from self._whole_lines()
         while (token := self.TOKEN.search(self._bytes, self._at)) is not None:
             if self._depth == 0 and (token[0] != b"{" or self._bytes[:token.start()].strip()):
                 raise ListError("not an object")
