--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -255,6 +255,33 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize("how", ["reset", "close"])
+def test_a_client_that_breaks_off_while_its_last_answer_goes_out_raises_nothing(tmp_path: Path, how: str) -> None:
+    """Our end of file waits behind what is unsent; it was sent from a callback then, which may fail."""
+    async def play() -> None:
+        raised: list[dict[str, Any]] = []
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: raised.append(context))
+        async with stand(tmp_path) as now:
+            client = await now.client(room=4096)
+            actor = now.actor_of(client)
+            actor.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            await client.send(read(1))
+            server = await now.server.accept()
+            await server.until(b"\r\n")
+            await server.send(b"VA 60000 O1 h1\r\n" + b"x" * 60000 + b"\r\n")
+            await until(lambda: now.counters["attempts.ok"] == 1 and not actor.slots)
+            assert actor.writer.transport.get_write_buffer_size()
+            actor.shut_when_idle()
+            await step()
+            await client.receive()
+            getattr(client, how)()
+            await until(lambda: not now.program.front.actors)
+            await step()
+        assert not raised
+
+    asyncio.run(play())
+
+
 def test_who_lingers_makes_room_before_anybody_else(tmp_path: Path) -> None:
     async def play() -> None:
         async with stand(tmp_path) as now:
