Count an answer that a cut link holds as out until the link heals

Seen: the last run of the checks failed by one test of 592, the zone that hears nothing from a third of the boxes: 'held-back', busy after 3196 ms, nothing out for the last 3170 ms of them. That request was sent 9 ms before the link was cut, and its box wrote the answer down 17 ms after that. The emulator holds what is sent into a cut link until it heals, as TCP does, so the router could not know of that answer; the judge took the box's book for the router's. At fault: Judge._held_back, which looked at the box's end of a delivery alone. It now counts such an answer as out until the link heals, for the routers of the struck groups, the struck boxes and answers within the cut only; each of these four is a test of its own that a refusal is still held back. So the rule is as strict for all else.

--- a/starlingthread/emulator/faults.py
+++ b/starlingthread/emulator/faults.py
@@ -138,7 +138,8 @@
         where = "boxes " if fault.kind in ON_BOXES else "routers " if on_routers else ""
         self.stage.mark(Marked(
             fault.label(), fault.kind, began, time.monotonic() * 1000.0,
-            where + ",".join(map(str, struck)) if where else ""))
+            where + ",".join(map(str, struck)) if where else "",
+            struck, tuple(groups_of(fault, self.scenario)), fault.way))
 
     async def _begin(self, fault: Fault, struck: tuple[int, ...]) -> None:
         stage, kind, strength = self.stage, fault.kind, fault.strength
--- a/starlingthread/emulator/judge.py
+++ b/starlingthread/emulator/judge.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import itertools
 from bisect import bisect_right
 from collections import defaultdict
 from collections.abc import Iterator
@@ -14,8 +15,7 @@
 import msgspec
 
 from .records import CUT, OUT, RUN, TURNED_AWAY, Delivery, Ledger, Try
-from .scenario import Scenario
-import itertools
+from .scenario import Scenario, link_groups
 
 MOST_SHOWN = 200  # violations of one rule that are kept in words; all are counted
 PUSHED_BY_TOLD = 2.0 / 3.0  # share of a cold box's work from routers that knew, from which on they are to blame
@@ -105,6 +105,14 @@
         return any(f.kind in QUIET_KINDS and f.began_at - 200.0 <= end and begin <= f.ended_at + 500.0
                    for f in self.ledger.faults)
 
+    def _arrived_at(self, delivery: Delivery, router: int) -> float:
+        """Return when a server's answer came through to a router: one that went into a cut link does at its end."""
+        group = router % link_groups(self.scenario)
+        return max([delivery.ended_at, *(
+            f.ended_at for f in self.ledger.faults
+            if f.kind == "link-cut" and f.way != "to-box" and delivery.box in f.struck and group in f.groups
+            and f.began_at <= delivery.ended_at <= f.ended_at)])
+
     def _void(self) -> list[str]:
         """Return why the run proves nothing: the tools themselves were too slow."""
         rules, why = self.scenario.rules, []
@@ -307,7 +315,8 @@
             if took < max(most, attempt.wait / 2.0):
                 continue
             deliveries = self.by_request.get(attempt.rid, [])
-            if any(d.end == OUT or d.ended_at > attempt.answered_at - most for d in deliveries):
+            if any(d.end == OUT or self._arrived_at(d, attempt.router) > attempt.answered_at - most
+                   for d in deliveries):
                 continue
             if self._is_quiet(attempt.sent_at, attempt.answered_at) or self._was_absent(
                     attempt.router, attempt.sent_at, attempt.answered_at):
--- a/starlingthread/emulator/records.py
+++ b/starlingthread/emulator/records.py
@@ -110,6 +110,9 @@
     began_at: float
     ended_at: float
     target: str
+    struck: tuple[int, ...] = ()  # the servers or routers of the target
+    groups: tuple[int, ...] = ()  # of a link: the groups of routers for whom it failed
+    way: str = "both"  # of a link that was cut: the direction that let nothing through
 
 
 class Ledger(msgspec.Struct):
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -7,11 +7,14 @@
 import sys
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from starlingthread.emulator.judge import judge
-from starlingthread.emulator.records import ANSWERED, CUT, OUT, RUN, Delivery, Ledger, Operation, RouterEvent, Try
+from starlingthread.emulator.records import (
+    ANSWERED, CUT, OUT, RUN, Delivery, Ledger, Marked, Operation, RouterEvent, Try,
+)
 from starlingthread.emulator.scenario import Scenario, parse
 from starlingthread.load import results
 
@@ -147,3 +150,24 @@
     assert not judge(scenario, ledger).void
     ledger.lags = {"boxes-0": 500.0}
     assert "boxes-0 stood still" in judge(scenario, ledger).void[0]
+
+
+def _held(router: int = 1, box: int = 0, ended_at: float = 5017.0, way: str = "from-box") -> set[str]:
+    """What the judge says of a refusal 3.2 s after the request, as a link to group 1 is cut from 5 s to 9 s."""
+    scenario, ledger = _scene("repeatable")
+    ledger.operations = [Operation(0, 0, 4990.0)]
+    ledger.tries = [Try("a", 0, 0, 1, router, 4990.0, 3200.0, kind="busy", answered_at=8187.0)]
+    ledger.deliveries = [Delivery("a", box, 4991.0, 4991.0, RUN, ANSWERED, ended_at)]
+    ledger.faults = [Marked("cut", "link-cut", 5000.0, 9000.0, "boxes 0", (0,), (1,), way)]
+    return set(judge(scenario, ledger).counts)
+
+
+def test_an_answer_that_a_cut_link_holds_is_out_until_the_link_heals() -> None:
+    assert not _held()
+    assert not _held(router=4)  # of the same group, as there are three zones
+
+
+@pytest.mark.parametrize("other", [
+    {"router": 0}, {"box": 1}, {"way": "to-box"}, {"ended_at": 4999.0}])
+def test_a_refusal_is_held_back_if_the_cut_link_did_not_hold_the_answer(other: dict[str, Any]) -> None:
+    assert _held(**other) == {"held-back"}
