Name requesters, maintenance, byte budgets and the pool's limit by the field's terms

Asker is Requester; servers that operators leave out are in maintenance (core/maintenance.py; the platform's calls, their answers and the file's name stay, mapped at the edge); Room is ByteBudget, limits/room.py limits/budgets.py, and connections.no_room connections.pool_exhausted; told_shut is unavailable.

--- a/starlingthread/__main__.py
+++ b/starlingthread/__main__.py
@@ -18,11 +18,11 @@
 from .core.actors import Clock, Watcher
 from .core.counters import Counters
 from .core.deadlines import Deadlines
-from .core.exclusions import Exclusions
+from .core.maintenance import MaintenanceSet
 from .core.router import Router
 from .handover.actor import Handover
 from .handover.channel import Inheritance, inherit
-from .limits.room import share_out
+from .limits.budgets import split_budgets
 from .logs import LogWriter, log
 from .net.clients import Front
 from .net.failover import FailoverActor
@@ -74,7 +74,7 @@
         folder = os.environ.get("TMPDIR") if config.management is not None else None
         shared = Path(folder) if folder else None
         self.handover = Handover(self, self.watcher, self.counters, shared, inheritance)
-        self.exclusions = Exclusions(shared, self._excluded)
+        self.maintenance = MaintenanceSet(shared, self._on_maintenance)
         self.fleet = ServerFleet(config.settings, self.router, self.watcher, 0, config.idle_close)
         self.registry = RegistryActor(
             self.router, ListReader(config.zones, config.kinds), config.discovery, self.watcher,
@@ -84,7 +84,7 @@
         self.failover = FailoverActor(self.router, self.peers, self.members, config.settings.me)
         self.front = Front(
             config.settings, self.router, self.watcher, 0, 0, 0, self.listed)
-        self.fleet.room = self.front.room
+        self.fleet.budget = self.front.budget
         self.management = Management(
             self, self.watcher, self.router.clock, self.counters, self.router.deadlines, 0)
         self.size = resident()  # MB at rest
@@ -101,11 +101,11 @@
     def share(self, part: float) -> None:
         """Hold no more than this part of what the limits give."""
         config = self.config
-        room = share_out(config.sockets, config.memory, self.size, part, config.management is not None)
-        self.front.most, self.front.comfortable = room.clients, room.comfortable
-        self.front.most_held, self.front.room.most = room.whole, room.pieces
-        self.management.most = room.calls
-        self.fleet.limit(room.servers)
+        budgets = split_budgets(config.sockets, config.memory, self.size, part, config.management is not None)
+        self.front.most, self.front.comfortable = budgets.clients, budgets.comfortable
+        self.front.most_held, self.front.budget.most = budgets.whole, budgets.pieces
+        self.management.most = budgets.calls
+        self.fleet.limit(budgets.servers)
 
     def give_way(self) -> None:
         """A new process takes the connections from now on."""
@@ -145,27 +145,27 @@
 
     def exclude(self, name: str) -> bool:
         """Leave a cache server out; False if the list has none of that name."""
-        if self.registry.number(name) is None and name not in self.exclusions.names:
+        if self.registry.number(name) is None and name not in self.maintenance.names:
             return False
-        self.exclusions.change(name, True)
+        self.maintenance.change(name, True)
         return True
 
     def include(self, name: str) -> bool:
         """Let a cache server serve again; False if there is none of that name, listed or excluded."""
-        if self.registry.number(name) is None and name not in self.exclusions.names:
+        if self.registry.number(name) is None and name not in self.maintenance.names:
             return False
-        self.exclusions.change(name, False)
+        self.maintenance.change(name, False)
         return True
 
-    def _excluded(self, name: str, out: bool) -> None:
+    def _on_maintenance(self, name: str, out: bool) -> None:
         """Have it hold: the server's actor writes nothing more, and the module chooses another one."""
         number = self.registry.reader.ids.of(name)
-        self.fleet.exclude(number, out)
-        self.router.mailbox.must_put(api.Exclusion(number, out))
+        self.fleet.set_maintenance(number, out)
+        self.router.mailbox.must_put(api.Maintenance(number, out))
 
-    def _look_at_exclusions(self) -> None:
-        self.exclusions.look()
-        self.router.deadlines.set(self.router.clock.now() + LOOK_EVERY, self._look_at_exclusions)
+    def _look_at_maintenance(self) -> None:
+        self.maintenance.look()
+        self.router.deadlines.set(self.router.clock.now() + LOOK_EVERY, self._look_at_maintenance)
 
     def _fatal(self, error: BaseException) -> None:
         self.code = 1
@@ -270,7 +270,7 @@
             loop.call_soon(self.reload)
         if self.config.known is not None:
             self.registry.known(self.config.known)
-        self._look_at_exclusions()
+        self._look_at_maintenance()
         self.router.begin()
         self._run_registry()
         self.watcher.start(self.router.run(), "router", self._fatal)
--- a/starlingthread/core/exclusions.py
+++ b/starlingthread/core/maintenance.py
@@ -1,4 +1,4 @@
-"""The cache servers that operators leave out, by their names in discovery.
+"""The cache servers that operators have put in maintenance, by their names in discovery.
 
 What holds is in one small file, so that it outlives an upgrade and binds both processes during one. Without a folder,
 or where it fails, the process's own memory holds it.
@@ -29,7 +29,7 @@
     excluded: list[str]
 
 
-class Exclusions:
+class MaintenanceSet:
     """The names, and whoever wants to hear when one comes or goes."""
 
     def __init__(self, folder: Path | None, on_change: Callable[[str, bool], None]) -> None:
@@ -56,7 +56,7 @@
         gone, come = self.names - names, names - self.names
         self.names = names
         for changed, out in [(n, True) for n in sorted(come)] + [(n, False) for n in sorted(gone)]:
-            log.info("excluded" if out else "included", server=changed)
+            log.info("maintenance-began" if out else "maintenance-ended", server=changed)
             self._on_change(changed, out)
 
     # the file
@@ -81,7 +81,7 @@
             if held.version != VERSION:
                 raise ValueError(f"version {held.version}")
         except (OSError, ValueError, msgspec.MsgspecError) as error:
-            log.error("exclusions-unreadable", file=str(self._path), why=" ".join(str(error).split()))
+            log.error("maintenance-unreadable", file=str(self._path), why=" ".join(str(error).split()))
             return set(self.names)
         return set(held.excluded)
 
@@ -93,7 +93,7 @@
             other.write_bytes(msgspec.json.encode(Held(VERSION, sorted(names))))
             os.replace(other, self._path)
         except OSError as error:
-            log.error("exclusions-unwritten", file=str(self._path), why=" ".join(str(error).split()))
+            log.error("maintenance-unwritten", file=str(self._path), why=" ".join(str(error).split()))
         self._seen = self._looks()
 
     @contextlib.contextmanager
--- a/starlingthread/core/pipe.py
+++ b/starlingthread/core/pipe.py
@@ -1,7 +1,7 @@
 """A value on its way in pieces, from whoever reads it off a socket to whoever writes it to another.
 
-The reader's side asks for room before it reads on, so a slow writer holds up its own value and no other. A pipe may
-always hold one piece; more only within its window and within the room that all pipes share.
+The reader's side waits for the budget before it reads on, so a slow writer holds up its own value and no other. A pipe
+may always hold one piece; more only within its window and within the budget that all pipes share.
 """
 
 from __future__ import annotations
@@ -10,10 +10,10 @@
 from collections import deque
 from collections.abc import Callable
 
-WINDOW = 131072  # bytes that one pipe may hold before its reader waits, where there is room
+WINDOW = 131072  # bytes that one pipe may hold before its reader waits, where the budget allows
 
 
-class Room:
+class ByteBudget:
     """The bytes that all pipes together hold, and may hold beyond one piece each."""
 
     def __init__(self, most: int) -> None:
@@ -23,12 +23,12 @@
 class Pipe:
     """One value. The reader's side puts and ends; the writer's side takes, or abandons."""
 
-    def __init__(self, room: Room) -> None:
-        self._room = room
+    def __init__(self, budget: ByteBudget) -> None:
+        self._budget = budget
         self._pieces: deque[bytes] = deque()
         self.held = 0  # bytes
         self._waiter: asyncio.Future[None] | None = None  # the writer's side, for a piece or the end
-        self._reader: asyncio.Future[None] | None = None  # the reader's side, for room
+        self._reader: asyncio.Future[None] | None = None  # the reader's side, until it is not full
         self._then: list[Callable[[], None]] = []
         self.whole: bool | None = None  # whether all of it was put, once that is known
         self.abandoned = False  # nobody takes any more
@@ -56,9 +56,9 @@
         """Tell whether the reader's side should wait before it reads on."""
         if self.abandoned or self.whole is not None or not self.held:
             return False
-        return self.held >= WINDOW or self._room.held > self._room.most
+        return self.held >= WINDOW or self._budget.held > self._budget.most
 
-    async def until_room(self) -> None:
+    async def until_not_full(self) -> None:
         """Wait until it may read on."""
         while self.is_full():
             self._reader = asyncio.get_running_loop().create_future()
@@ -121,7 +121,7 @@
 
     def _hold(self, more: int) -> None:
         self.held += more
-        self._room.held += more
+        self._budget.held += more
 
     def _wake(self, waiter: asyncio.Future[None] | None) -> None:
         if waiter is not None and not waiter.done():
--- a/starlingthread/core/router.py
+++ b/starlingthread/core/router.py
@@ -48,7 +48,7 @@
 ENDS: dict[type, End] = {Served: End.SUCCESS, Refused: End.BUSY, Failed: End.FAILURE}
 
 
-class Asker(Protocol):
+class Requester(Protocol):
     """Whoever is owed a final answer."""
 
     def answer(self, request: Taken, answer: Answer) -> None:
@@ -59,7 +59,7 @@
 class Taken:
     """A request that was taken and is owed one final answer."""
 
-    asker: Asker
+    requester: Requester
     cls: api.RequestClass
     key: int
     ends: float  # clock time at which the client gives up
@@ -130,7 +130,7 @@
 
 
 Message: TypeAlias = (
-    Asked | Whole | Gone | Ended | Listed | api.ProbeResult | api.PeerMessage | api.Exclusion | api.Retuned)
+    Asked | Whole | Gone | Ended | Listed | api.ProbeResult | api.PeerMessage | api.Maintenance | api.Retuned)
 
 
 class Fleet(Protocol):
@@ -361,7 +361,7 @@
         if request.body is not None:
             request.body.abandon()
         self._count_end(request.cls.name, answer)
-        request.asker.answer(request, answer)
+        request.requester.answer(request, answer)
         self._forget(request)
 
     def _count_end(self, cls: str, answer: Answer) -> None:
--- a/starlingthread/interface.py
+++ b/starlingthread/interface.py
@@ -222,7 +222,7 @@
     report: tuple[float, ...] = ()
 
 
-class Exclusion(NamedTuple):
+class Maintenance(NamedTuple):
     """Event: an operator leaves a server out, whatever lists say of it, or lets it serve again."""
 
     server: int
@@ -314,7 +314,7 @@
 
 
 Event: TypeAlias = (
-    MemberList | Request | Outcome | FirstByte | Withdrawn | Timer | ProbeResult | PeerMessage | Exclusion | Retuned
+    MemberList | Request | Outcome | FirstByte | Withdrawn | Timer | ProbeResult | PeerMessage | Maintenance | Retuned
 )
 Action: TypeAlias = (
     Send | Refuse | Fail | Cancel | SetTimer | Probe | CloseConnections | Tell | Log | Watch | FetchList
--- a/starlingthread/limits/room.py
+++ b/starlingthread/limits/budgets.py
@@ -1,4 +1,4 @@
-"""How the limits on descriptors and memory are shared out among those who need some. No I/O, no clock.
+"""The budgets of descriptors and memory: how the limits are split among those who need some. No I/O, no clock.
 
 During an upgrade two processes hold a part of the limits each, and the sum of what both hold stays within them.
 """
@@ -19,7 +19,7 @@
 LEAST_LEFT = 2.0  # MB that are taken to be left in any case: a router that holds nothing serves nothing
 
 
-class Shares(NamedTuple):
+class Budgets(NamedTuple):
     """What each may hold: connections by their number, values by their bytes."""
 
     clients: int
@@ -30,7 +30,7 @@
     pieces: int
 
 
-def share_out(sockets: int, memory: float, own: float, part: float, called: bool) -> Shares:
+def split_budgets(sockets: int, memory: float, own: float, part: float, called: bool) -> Budgets:
     """Share out a part of the limits: descriptors, and memory in MB of which the program takes 'own' at rest.
 
     'called' tells whether operators may call; if not, nothing is kept for them.
@@ -40,5 +40,5 @@
     left = max(16, ours - OWN_SOCKETS - calls)
     clients = int(left * CLIENT_SHARE)
     spare = max(LEAST_LEFT, memory * part - own * GROWTH) * MB
-    return Shares(clients, int(ours * COMFORTABLE), left - clients, calls, int(spare * WHOLE_SHARE),
+    return Budgets(clients, int(ours * COMFORTABLE), left - clients, calls, int(spare * WHOLE_SHARE),
                   int(spare * PIECES_SHARE))
--- a/starlingthread/membership/swim.py
+++ b/starlingthread/membership/swim.py
@@ -214,8 +214,8 @@
         elif message.kind == Kind.ASK:
             self._help(sender, message)
         elif message.kind == Kind.ACK and message.number in self._for:
-            asker, number = self._for.pop(message.number)
-            self._tell(asker, Kind.HEARD, number, sender)
+            requester, number = self._for.pop(message.number)
+            self._tell(requester, Kind.HEARD, number, sender)
         elif (probe := self._probe) is None or message.number != probe.number:
             return  # an answer that comes too late
         elif message.kind == Kind.ASKED:
@@ -225,15 +225,15 @@
             self.doubt = max(0, self.doubt - 1)
             self.due = max(now, probe.sent_at + self.period * self._wait())
 
-    def _help(self, asker: int, message: Message) -> None:
+    def _help(self, requester: int, message: Message) -> None:
         """Ping a member for another one."""
-        if message.subject in (self.me, asker):
+        if message.subject in (self.me, requester):
             return  # nobody asks that
         if len(self._for) >= MOST_HELPED:
             del self._for[next(iter(self._for))]  # the oldest: its answer comes no more
         self._number += 1
-        self._for[self._number] = (asker, message.number)
-        self._tell(asker, Kind.ASKED, message.number)
+        self._for[self._number] = (requester, message.number)
+        self._tell(requester, Kind.ASKED, message.number)
         self._tell(message.subject, Kind.PING, self._number)
 
     def _tell(self, to: int, kind: Kind, number: int, subject: int = 0) -> None:
--- a/starlingthread/net/clients.py
+++ b/starlingthread/net/clients.py
@@ -13,7 +13,7 @@
 
 from .. import interface as api
 from ..core.actors import Mailbox, Watcher
-from ..core.pipe import Pipe, Room
+from ..core.pipe import Pipe, ByteBudget
 from ..core.router import Answer, Gone, Refused, Router, Served, Taken, Whole
 from . import meta
 from .streams import ENDED, EndAwareProtocol, polled, read_at_most, send_at_once
@@ -92,7 +92,7 @@
         self.lost = False  # nobody knows where its next command begins
         self.hurried = False  # its descriptor is wanted: no lingering
         self.lingering = False  # our end of file is sent, and what still comes belongs to nothing
-        self.room = asyncio.Event()
+        self.may_read = asyncio.Event()
         self.used_at = front.clock.now()
         self.began_at: float | None = None  # when the command that is not whole yet began
         self.body: tuple[Slot, Taken, Pipe] | None = None  # of the request whose value is coming in pieces
@@ -115,9 +115,9 @@
                         continue
                     # Guards memory against a client that sends on and on without reading its answers.
                     while len(self.slots) >= MAX_PIPELINED and not self.ended:
-                        self.room.clear()
+                        self.may_read.clear()
                         self.front.look_for_end(self)
-                        await self.room.wait()
+                        await self.may_read.wait()
                     if self.ended and len(self.slots) >= MAX_PIPELINED:
                         return
                     self.began_at = None
@@ -130,7 +130,7 @@
                     self.began_at = self.front.clock.now()
                 if self.body is not None and self.body[2].is_full():
                     self.front.look_for_end(self)
-                    await self.body[2].until_room()
+                    await self.body[2].until_not_full()
                     self.began_at = self.front.clock.now()
         except OSError:
             self.front.counters.note("clients.reset")
@@ -147,7 +147,7 @@
             self._leave(request)
         if self.delivering is not None:
             self.delivering.abandon()
-        self.room.set()
+        self.may_read.set()
         self.mailbox.wake()
 
     def look_for_end(self) -> bool:
@@ -235,7 +235,7 @@
             front.open_ids.add(item.id)
             # Nobody waits longer than the class lets them, nor than a process that ends lives.
             wait = min(item.wait, cls.deadline, front.answer_by - self.used_at)
-            body = Pipe(front.room) if item.in_pieces else None
+            body = Pipe(front.budget) if item.in_pieces else None
             wait = wait if body is None else BODY
             request = Taken(
                 self, cls, key_number(item.key), self.used_at + wait - ANSWER_EARLY, item, self.used_at, body=body,
@@ -293,7 +293,7 @@
             return (0 if idle >= MUTE else 4, self.used_at)
         return (1 if idle >= SILENT else 3, self.used_at)
 
-    def make_room(self) -> None:
+    def close_idle(self) -> None:
         """Close, as somebody else needs the descriptor; a command that is half here is answered."""
         self.hurried = True
         if self.lingering:
@@ -373,7 +373,7 @@
                 await self._write(self.slots[0], ready)
                 slot = self.slots.popleft()
                 self._hold(slot, 0)
-                self.room.set()
+                self.may_read.set()
                 if slot.last:
                     return
                 # Right behind an answer no request can be on its way yet, unless the client sends several at once.
@@ -502,7 +502,7 @@
         self.router, self.watcher = router, watcher
         self.clock, self.counters, self.deadlines = router.clock, router.counters, router.deadlines
         self.held = 0  # bytes of values that all slots hold
-        self.room = Room(0)  # for values that go through in pieces, either way
+        self.budget = ByteBudget(0)  # for values that go through in pieces, either way
         self.most, self.comfortable, self.most_held, self.ready = most, comfortable, most_held, ready
         self.retune(settings)
         self.open_ids: set[bytes] = set()  # of the requests that are owed an answer
@@ -565,12 +565,12 @@
         for (_, since), actor in ranked[:max(0, len(self.actors) - self.comfortable)]:
             if now - since >= SPARE:
                 self.counters.note("clients.shed")
-                actor.make_room()
+                actor.close_idle()
         self.deadlines.set(now + LOOK_EVERY, self._look)
 
     def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.counters.note("clients.accepted")
-        if len(self.actors) >= self.most and not self._make_room():
+        if len(self.actors) >= self.most and not self._close_spare():
             self.counters.note("clients.turned_away")
             writer.transport.abort()
             return
@@ -583,7 +583,7 @@
             protocol.on_end = actor.left
         self.watcher.start(actor.run(), "client", lambda _: actor.close())
 
-    def _make_room(self) -> bool:
+    def _close_spare(self) -> bool:
         """Close one connection that asks for nothing, the least useful first. Guards the descriptor limit.
 
         Whoever opens connections and says nothing loses them to those who ask.
@@ -594,7 +594,7 @@
             return False
         actor = min(ranked, key=lambda pair: pair[0])[1]
         self.counters.note("clients.shed")
-        actor.make_room()
+        actor.close_idle()
         return True
 
     async def _accept_last(self) -> None:
--- a/starlingthread/net/servers.py
+++ b/starlingthread/net/servers.py
@@ -12,7 +12,7 @@
 from .. import interface as api
 from ..core.actors import Mailbox, Watcher
 from ..core.deadlines import Deadline
-from ..core.pipe import Pipe, Room
+from ..core.pipe import Pipe, ByteBudget
 from ..core.router import Attempt, Ended, Listed, Router
 from ..logs import log
 from . import meta
@@ -222,7 +222,7 @@
 
     def _is_wanted(self, job: Attempt | Probing) -> bool:
         """Look again right before a write: time has passed since the module decided."""
-        if self.number in self.fleet.excluded:
+        if self.number in self.fleet.in_maintenance:
             return False
         if isinstance(job, Probing):
             return True
@@ -241,8 +241,8 @@
         elif (connection := self._take_idle(
                 isinstance(job, Attempt) and job.request.is_write)) is not None:
             self._write(connection, job)
-        elif not self.fleet.make_room():
-            self.fleet.counters.note("connections.no_room")
+        elif not self.fleet.allow_connection():
+            self.fleet.counters.note("connections.pool_exhausted")
             self._report(job, api.Result.CONNECT_FAILED)
         else:
             self.open += 1
@@ -393,18 +393,18 @@
             while data := await connection.reader.read(READ):
                 if not self._heard(connection, data):
                     break
-                if connection.pipe is not None and not await self._has_room(connection, connection.pipe):
+                if connection.pipe is not None and not await self._until_not_full(connection, connection.pipe):
                     break
         except OSError:
             pass
         self._tell(Broken(connection))
 
-    async def _has_room(self, connection: Connection, pipe: Pipe) -> bool:
+    async def _until_not_full(self, connection: Connection, pipe: Pipe) -> bool:
         """Wait until more of a value may be read; False if nobody takes it any more."""
         if pipe.is_full():
             self.fleet.deadlines.clear(connection.stall)
             connection.stall = None
-            await pipe.until_room()
+            await pipe.until_not_full()
             self._await_rest(connection, connection.parser.is_midway(), sure=False)
         return not pipe.abandoned
 
@@ -428,7 +428,7 @@
                 connection.spoilt = True
                 connection.pipe.end(False)
                 break
-            connection.pipe = Pipe(self.fleet.room) if item.in_pieces else None
+            connection.pipe = Pipe(self.fleet.budget) if item.in_pieces else None
             self._tell(Answered(connection, item, connection.pipe))
         midway = connection.parser.is_midway()
         if midway and not connection.owed:
@@ -592,8 +592,8 @@
         self.clock, self.counters, self.deadlines = router.clock, router.counters, router.deadlines
         self.risk = IdleRisk()
         self.retune(settings, idle_close)
-        self.excluded: set[int] = set()  # servers that operators leave out
-        self.room = Room(0)  # for values that come in pieces
+        self.in_maintenance: set[int] = set()  # servers that operators leave out
+        self.budget = ByteBudget(0)  # for values that come in pieces
         self.actors: dict[int, ServerActor] = {}
         self.tasks: dict[int, asyncio.Task[None]] = {}
         self._look()
@@ -604,12 +604,12 @@
         self.report_fields = settings.report_fields
         self.retire_after = idle_close * RETIRE_SHARE
 
-    def exclude(self, server: int, out: bool) -> None:
+    def set_maintenance(self, server: int, out: bool) -> None:
         """Write nothing new to a server from now on, or write to it again."""
         if not out:
-            self.excluded.discard(server)
+            self.in_maintenance.discard(server)
             return
-        self.excluded.add(server)
+        self.in_maintenance.add(server)
         self.close_idle(server)
 
     def _look(self) -> None:
@@ -694,7 +694,7 @@
         if (actor := self.actors.get(server)) is not None:
             actor.mailbox.must_put(Retire(0.0))
 
-    def make_room(self) -> bool:
+    def allow_connection(self) -> bool:
         """Tell whether one more connection may be opened; close the one idle longest if need be."""
         if sum(a.open for a in self.actors.values()) < self.most:
             return True
--- a/starlingthread/policy.py
+++ b/starlingthread/policy.py
@@ -13,9 +13,9 @@
 from typing import TYPE_CHECKING
 
 from .interface import (
-    NEVER_RAN, Action, Cancel, Effect, Event, Exclusion, Fail, FirstByte, ListKind, Member, MemberList, Note,
-    Outcome, PeerMessage, ProbeResult, Refuse, Request, RequestClass, Result, Retuned, Send, ServerState,
-    SetTimer, Settings, Timer, Watch, Withdrawn,
+    NEVER_RAN, Action, Cancel, Effect, Event, Fail, FirstByte, ListKind, Maintenance, Member, MemberList,
+    Note, Outcome, PeerMessage, ProbeResult, Refuse, Request, RequestClass, Result, Retuned, Send,
+    ServerState, SetTimer, Settings, Timer, Watch, Withdrawn,
 )
 from .balance.hot import Crowd
 from .balance.key import KeyHomes
@@ -61,12 +61,12 @@
     """What this balancer knows of one server."""
 
     __slots__ = ("budget", "limit", "line", "out", "salt", "seen", "shut_at", "since", "tally",
-                 "told_shut", "trust")
+                 "unavailable", "trust")
 
     def __init__(self, line: Member, saved: float, since: float) -> None:
         self.line, self.since = line, since  # since: when it was as cold as at its start; 0: long ago
         self.budget = ColdBudget(saved)  # while it is cold
-        self.told_shut = line.state != ServerState.READY
+        self.unavailable = line.state != ServerState.READY
         self.tally, self.out = 0.0, 0  # cost and number of our attempts that are out
         self.limit = Concurrency()
         self.seen, self.trust = Seen(), Trust()
@@ -129,7 +129,7 @@
         self.own, self.reserve = OwnCore(), Reserve()
         self.look_at = math.inf  # when the next of these looks is due
         self.seconds = Seconds()
-        self.excluded: set[int] = set()  # servers that operators leave out
+        self.in_maintenance: set[int] = set()  # servers that operators leave out
         self.work: dict[str, Work] = {}  # learned times of each class
         self.views = Views()
         self._tune(settings)
@@ -177,8 +177,8 @@
         elif isinstance(event, ProbeResult):
             if server := self.servers.get(event.server):
                 self.views.hear(now, server.seen, event.report, self.mean_work)
-        elif isinstance(event, Exclusion):
-            self._on_exclusion(now, event)
+        elif isinstance(event, Maintenance):
+            self._on_maintenance(now, event)
         elif isinstance(event, Retuned):
             self._tune(event.settings)
             self._sort_out()
@@ -193,7 +193,7 @@
     def avoided(self, now: float) -> list[int]:
         """Return the listed servers that are left out now, by operators or by choice."""
         return [n for n, s in self.servers.items()
-                if not s.told_shut and (n in self.excluded or s.trust.back_until > now)]
+                if not s.unavailable and (n in self.in_maintenance or s.trust.back_until > now)]
 
     # membership
 
@@ -212,7 +212,7 @@
             named = {m.server for m in event.members}
             for number, server in self.servers.items():
                 if number not in named:
-                    server.told_shut = True
+                    server.unavailable = True
         for line in event.members:
             old = self.servers.get(line.server)
             if old is None or old.line.started != line.started:
@@ -221,7 +221,7 @@
                 self.servers[line.server] = fresh = Server(line, saving, since)
                 fresh.tally, fresh.out = (old.tally, old.out) if old else (0.0, 0)
             else:
-                old.line, old.told_shut = line, line.state != ServerState.READY
+                old.line, old.unavailable = line, line.state != ServerState.READY
         self._forget_gone(now)
         self._sort_out()
 
@@ -230,19 +230,19 @@
         self.list_count, self.warm_at = self.list_count + 1, -math.inf
         for server in self.servers.values():
             if self.set.mode == "aside" and server.line.kind == self.set.origin_kind:
-                self.origin = server if not server.told_shut else self.origin
-            elif not server.told_shut and server.line.server not in self.excluded:
+                self.origin = server if not server.unavailable else self.origin
+            elif not server.unavailable and server.line.server not in self.in_maintenance:
                 self.ready.append(server)
         if self.zones:
             self.zones.listed((s.line.zone, s.line.server) for s in self.ready)
         self.crowd.know(self.set.balancers, len(self.ready), len({s.line.zone for s in self.ready}))
 
-    def _on_exclusion(self, now: float, event: Exclusion) -> None:
+    def _on_maintenance(self, now: float, event: Maintenance) -> None:
         """Leave a server out, or take it back: for all we know yet it was started anew a moment ago."""
         if event.out:
-            self.excluded.add(event.server)
-        elif event.server in self.excluded:
-            self.excluded.remove(event.server)
+            self.in_maintenance.add(event.server)
+        elif event.server in self.in_maintenance:
+            self.in_maintenance.remove(event.server)
             if server := self.servers.get(event.server):
                 server.since, server.trust = now, Trust()
                 server.budget = ColdBudget(first_saving(self.rng.random(), self.set.balancers))
@@ -251,8 +251,8 @@
     def _forget_gone(self, now: float) -> None:
         """Forget servers that were shut for so long that no attempt there can be out. Guards memory."""
         for number, server in list(self.servers.items()):
-            server.shut_at = min(server.shut_at, now) if server.told_shut else math.inf
-            if now - server.shut_at > self.keep_shut and number not in self.excluded:
+            server.shut_at = min(server.shut_at, now) if server.unavailable else math.inf
+            if now - server.shut_at > self.keep_shut and number not in self.in_maintenance:
                 del self.servers[number]
 
     def _on_timer(self, now: float, label: int) -> None:
@@ -290,8 +290,8 @@
         found = {}
         for number, (count, at, nudge) in list(entry.counts.items()):
             count *= math.exp2((at - now) / HALF_LIFE)
-            if (count < 0.1 or number not in self.servers or number in self.excluded
-                    or self.servers[number].told_shut):
+            if (count < 0.1 or number not in self.servers or number in self.in_maintenance
+                    or self.servers[number].unavailable):
                 del entry.counts[number]
             else:
                 found[number] = (count, nudge)
@@ -437,8 +437,8 @@
         most = 1 if tracked.req.single else self.set.max_attempts
         if tracked.ended or tracked.streaming or left <= 0 or len(tracked.tries) >= most:
             return False  # rule 1: nothing goes out for what is over
-        if server.told_shut or server.line.server in self.excluded:
-            return False  # rule 3: drained, gone or excluded; we use none of the grace
+        if server.unavailable or server.line.server in self.in_maintenance:
+            return False  # rule 3: drained, gone or in maintenance; we use none of the grace
         effect = tracked.cls.effect
         if tracked.out and (not self.set.second_copies or effect == Effect.UNSAFE):
             return False  # rule 2
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -93,12 +93,12 @@
         self.socket.close()
 
 
-async def connect(port: int, room: int = 0) -> Peer:
-    """Connect as a client; 'room' is what its system takes for it."""
+async def connect(port: int, buffer: int = 0) -> Peer:
+    """Connect as a client; 'buffer' is what its system takes for it."""
     sock = socket.socket()
     sock.setblocking(False)
-    if room:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, room)
+    if buffer:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer)
     await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", port))
     return Peer(sock)
 
@@ -192,9 +192,9 @@
         """The router's counters."""
         return self.program.counters
 
-    async def client(self, taken: bool = True, room: int = 0) -> Peer:
-        """Connect as a client; return once the router has taken it in. 'room' is what its system takes for it."""
-        self.clients.append(await connect(self.port, room))
+    async def client(self, taken: bool = True, buffer: int = 0) -> Peer:
+        """Connect as a client; return once the router has taken it in. 'buffer' is what its system takes for it."""
+        self.clients.append(await connect(self.port, buffer))
         if taken:
             await until(lambda: self.actor_of(self.clients[-1]) is not None)
         return self.clients[-1]
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -88,7 +88,7 @@
     """The writer waited up to 10 s for it to read on, and its other requests went out meanwhile."""
     async def play() -> None:
         async with stand(tmp_path) as now:
-            client = await now.client(room=4096)
+            client = await now.client(buffer=4096)
             (actor,) = now.program.front.actors
             actor.writer.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
             actor.writer.transport.set_write_buffer_limits(0)
@@ -262,7 +262,7 @@
         raised: list[dict[str, Any]] = []
         asyncio.get_running_loop().set_exception_handler(lambda _, context: raised.append(context))
         async with stand(tmp_path) as now:
-            client = await now.client(room=4096)
+            client = await now.client(buffer=4096)
             actor = now.actor_of(client)
             actor.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
             await client.send(read(1))
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -10,7 +10,7 @@
 
 from starlingthread.limits.copies import DOWN, TIERS, UP, CopyLimit
 from starlingthread.limits.ramp import ColdBudget, Pace, first_saving, ramp
-from starlingthread.limits.room import GROWTH, LEAST_CALLS, LEAST_LEFT, MB, OWN_SOCKETS, share_out
+from starlingthread.limits.budgets import GROWTH, LEAST_CALLS, LEAST_LEFT, MB, OWN_SOCKETS, split_budgets
 from starlingthread.limits.speed import ENOUGH, Speeds
 
 KEYS = range(0, 1 << 16, 257)
@@ -112,12 +112,12 @@
 def test_what_is_shared_out_stays_within_the_limits_also_by_two_processes(
         sockets: int, memory: float, own: float, called: bool) -> None:
     for part in (1.0, 0.5):
-        room = share_out(sockets, memory, own, part, called)
-        held = room.clients + room.servers + room.calls + OWN_SOCKETS
-        assert held <= max(sockets * part, 16 + OWN_SOCKETS + room.calls)
-        assert room.comfortable <= room.clients or sockets < 256
+        budgets = split_budgets(sockets, memory, own, part, called)
+        held = budgets.clients + budgets.servers + budgets.calls + OWN_SOCKETS
+        assert held <= max(sockets * part, 16 + OWN_SOCKETS + budgets.calls)
+        assert budgets.comfortable <= budgets.clients or sockets < 256
         # Where half the memory holds a process at all, both together stay within it.
         if memory * part > own * GROWTH + LEAST_LEFT:
-            assert own * GROWTH * MB + room.whole + room.pieces <= memory * part * MB
-        assert room.calls >= LEAST_CALLS if called else room.calls == 0
-        assert min(room.clients, room.servers) >= 8 and min(room.whole, room.pieces) > 0
+            assert own * GROWTH * MB + budgets.whole + budgets.pieces <= memory * part * MB
+        assert budgets.calls >= LEAST_CALLS if called else budgets.calls == 0
+        assert min(budgets.clients, budgets.servers) >= 8 and min(budgets.whole, budgets.pieces) > 0
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -13,10 +13,10 @@
 
 from starlingthread import interface as api
 from starlingthread.config import ConfigError, read_config
-from starlingthread.core.exclusions import NAME, Exclusions
+from starlingthread.core.maintenance import NAME, MaintenanceSet
 from starlingthread.core.router import Ended, Taken
 from starlingthread.core.telemetry import End
-from starlingthread.interface import Exclusion, ListKind, MemberList, Result, Retuned
+from starlingthread.interface import Maintenance, ListKind, MemberList, Result, Retuned
 from starlingthread.net import servers
 from starlingthread.net.registry import ListReader, RegistryActor
 
@@ -38,11 +38,11 @@
     return found
 
 
-def test_an_excluded_server_gets_nothing_whatever_lists_say_and_is_used_again_after_the_call_back() -> None:
+def test_a_server_in_maintenance_gets_nothing_whatever_lists_say_and_is_used_again_after_the_call_back() -> None:
     world = World(THROUGH)
     assert chosen(world) == {1, 2, 3, 4}
-    world.do(Exclusion(2, True))
-    world.do(Exclusion(2, True))  # the call may come twice
+    world.do(Maintenance(2, True))
+    world.do(Maintenance(2, True))  # the call may come twice
     assert chosen(world) == {1, 3, 4} and world.balancer.avoided(world.now) == [2]
     lines = tuple(m for m in members() if m.kind != 3)
     world.do(MemberList(ListKind.FULL, 2, lines))
@@ -52,8 +52,8 @@
     world.pass_time(60000.0)
     world.do(MemberList(ListKind.FULL, 5, lines))
     assert chosen(world) == {1, 3, 4}
-    world.do(Exclusion(2, False))
-    world.do(Exclusion(2, False))
+    world.do(Maintenance(2, False))
+    world.do(Maintenance(2, False))
     world.pass_time(3000.0)
     assert 2 in chosen(world) and world.balancer.avoided(world.now) == []
 
@@ -64,17 +64,17 @@
         for key in range(1, 40):
             world = World(settings, seed=key)
             first = only_send(world.ask(key=key))
-            world.do(Exclusion(first.server, True))
+            world.do(Maintenance(first.server, True))
             assert all(s.server != first.server for s in sends(world.end(first, result)))
             second = only_send(world.ask(key=key + 100))
-            world.do(Exclusion(second.server, True))
+            world.do(Maintenance(second.server, True))
             assert not {s.server for s in sends(world.pass_time(900.0))} & {first.server, second.server}
 
 
 def test_with_all_servers_out_a_request_is_refused_at_once() -> None:
     world = World(THROUGH)
     for number in range(1, 5):
-        world.do(Exclusion(number, True))
+        world.do(Maintenance(number, True))
     (refused,) = answers(world.ask())
     assert isinstance(refused, api.Refuse)
 
@@ -82,9 +82,9 @@
 def test_a_server_that_comes_back_is_cold_until_the_list_tells_when_it_started() -> None:
     """Guards the bound on cold servers: the list may tell of its restart seconds after the call back."""
     world = World(THROUGH)
-    world.do(Exclusion(2, True))
+    world.do(Maintenance(2, True))
     world.pass_time(2000.0)
-    world.do(Exclusion(2, False))
+    world.do(Maintenance(2, False))
     server = world.balancer.servers[2]
     assert server.since == world.now and server.line.started == 0.0
     began, few = world.now, 0
@@ -100,19 +100,19 @@
     assert chosen(world) == {1, 2, 3, 4}
 
 
-def test_what_waits_for_a_connection_to_an_excluded_server_is_placed_anew() -> None:
+def test_what_waits_for_a_connection_to_a_server_in_maintenance_is_placed_anew() -> None:
     for wait in ("idle", "opening"):
         held, job = (h := Held()), h.attempt()
         held.fleet.actors[1] = held.actor
         if wait == "opening":
             held.actor.idle.clear()
             held.actor.opening[job] = (_Task(), held.actor._await_opening(job))  # type: ignore[assignment]
-        held.fleet.exclude(1, True)
+        held.fleet.set_maintenance(1, True)
         opened = servers.Start(job) if wait == "idle" else servers.Opened(job, None)
         told = held.take(opened)
         assert [m.result for m in told] == [Result.MOOT if wait == "idle" else Result.CONNECT_FAILED]
         assert not held.writer.transport.sent
-        held.fleet.exclude(1, False)
+        held.fleet.set_maintenance(1, False)
         if wait == "idle":
             held.take(servers.Start(held.attempt()))
             assert held.writer.transport.sent
@@ -127,26 +127,26 @@
 
 
 class Party:
-    """One process's exclusions, and what it was told."""
+    """One process's servers in maintenance, and what it was told."""
 
     def __init__(self, folder: Path | None) -> None:
         self.told: list[tuple[str, bool]] = []
-        self.exclusions = Exclusions(folder, lambda name, out: self.told.append((name, out)))
+        self.maintenance = MaintenanceSet(folder, lambda name, out: self.told.append((name, out)))
 
 
 def test_both_processes_of_an_upgrade_hold_what_either_was_called_for(tmp_path: Path) -> None:
     old, new = Party(tmp_path), Party(tmp_path)
-    old.exclusions.change("a", True)
-    new.exclusions.change("b", True)  # without having looked: nothing of the other's is lost
-    old.exclusions.look()
-    assert old.exclusions.names == new.exclusions.names == {"a", "b"}
+    old.maintenance.change("a", True)
+    new.maintenance.change("b", True)  # without having looked: nothing of the other's is lost
+    old.maintenance.look()
+    assert old.maintenance.names == new.maintenance.names == {"a", "b"}
     assert old.told == [("a", True), ("b", True)] and new.told == [("a", True), ("b", True)]
-    new.exclusions.change("a", True)
-    new.exclusions.change("a", False)
-    old.exclusions.look()
-    assert old.told[2:] == [("a", False)] and old.exclusions.names == {"b"}
+    new.maintenance.change("a", True)
+    new.maintenance.change("a", False)
+    old.maintenance.look()
+    assert old.told[2:] == [("a", False)] and old.maintenance.names == {"b"}
     later = Party(tmp_path)
-    later.exclusions.look()
+    later.maintenance.look()
     assert later.told == [("b", True)]
     assert {p.name for p in tmp_path.iterdir()} == {NAME, f"{NAME}.lock"}
 
@@ -156,33 +156,33 @@
     '{"version":1,"excluded":[],"more":1}'])
 def test_a_file_that_is_torn_or_not_ours_changes_nothing(text: str, tmp_path: Path) -> None:
     party = Party(tmp_path)
-    party.exclusions.change("a", True)
+    party.maintenance.change("a", True)
     (tmp_path / NAME).write_text(text)
-    party.exclusions.look()
-    party.exclusions.look()
-    assert party.exclusions.names == {"a"} and party.told == [("a", True)]
-    party.exclusions.change("b", True)  # and the next call writes it whole again
+    party.maintenance.look()
+    party.maintenance.look()
+    assert party.maintenance.names == {"a"} and party.told == [("a", True)]
+    party.maintenance.change("b", True)  # and the next call writes it whole again
     later = Party(tmp_path)
-    later.exclusions.look()
-    assert later.exclusions.names == {"a", "b"}
+    later.maintenance.look()
+    assert later.maintenance.names == {"a", "b"}
 
 
 def test_without_a_folder_or_with_one_that_fails_memory_holds(tmp_path: Path) -> None:
     for folder in (None, tmp_path / "nowhere"):
         party = Party(folder)
-        party.exclusions.look()
-        party.exclusions.change("a", True)
-        party.exclusions.look()
-        assert party.exclusions.names == {"a"}
+        party.maintenance.look()
+        party.maintenance.change("a", True)
+        party.maintenance.look()
+        assert party.maintenance.names == {"a"}
 
 
 def test_who_stands_still_with_the_lock_holds_up_nobody(tmp_path: Path) -> None:
     handle = os.open(tmp_path / f"{NAME}.lock", os.O_RDWR | os.O_CREAT)
     fcntl.flock(handle, fcntl.LOCK_EX)
     party = Party(tmp_path)
-    party.exclusions.change("a", True)
+    party.maintenance.change("a", True)
     os.close(handle)
-    assert party.exclusions.names == {"a"} and (tmp_path / NAME).exists()
+    assert party.maintenance.names == {"a"} and (tmp_path / NAME).exists()
 
 
 def test_only_listed_names_are_known() -> None:
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from starlingthread import interface as api
-from starlingthread.core.pipe import WINDOW, Pipe, Room
+from starlingthread.core.pipe import WINDOW, Pipe, ByteBudget
 from starlingthread.core.router import Ended, Failed, Gone, Refused, Served, Taken, Whole
 from starlingthread.core.telemetry import End
 from starlingthread.net import meta, servers
@@ -31,9 +31,9 @@
 @settings(max_examples=80, deadline=None)
 @given(st.lists(st.tuples(st.integers(0, 2), st.sampled_from(["put", "take", "end", "break", "abandon"]),
                           st.integers(1, 3 * WINDOW // 2)), max_size=60))
-def test_a_pipe_gives_what_was_put_and_gives_back_all_room(steps: list[tuple[int, str, int]]) -> None:
-    room = Room(WINDOW)
-    pipes = [Pipe(room) for _ in range(3)]
+def test_a_pipe_gives_what_was_put_and_gives_back_all_of_the_budget(steps: list[tuple[int, str, int]]) -> None:
+    budget = ByteBudget(WINDOW)
+    pipes = [Pipe(budget) for _ in range(3)]
     put, got = [b"", b"", b""], [b"", b"", b""]
     settled = [0, 0, 0]
     for number, pipe in enumerate(pipes):
@@ -44,7 +44,7 @@
             if not pipe.abandoned and pipe.whole is None:
                 put[which] += b"x" * size
             pipe.put(b"x" * size)
-            # One piece always; more only within the window, and only while there is room.
+            # One piece always; more only within the window, and only while the budget allows.
             assert pipe.held < WINDOW + size
         elif what == "take":
             got[which] += b"".join(pipe.take())
@@ -53,22 +53,22 @@
             pipe.end(what == "end")
         elif what == "abandon":
             pipe.abandon()
-        assert room.held == sum(p.held for p in pipes) >= 0
+        assert budget.held == sum(p.held for p in pipes) >= 0
     for which, pipe in enumerate(pipes):
         if not pipe.abandoned:
             assert got[which] + b"".join(pipe.take()) == put[which]
         pipe.abandon()
         assert settled[which] == 1 and pipe.is_over()
-    assert room.held == 0
+    assert budget.held == 0
 
 
 def test_who_reads_waits_for_who_writes_and_for_nobody_else() -> None:
     async def play() -> None:
-        room = Room(10)
-        slow, quick = Pipe(room), Pipe(room)
-        slow.put(b"x" * 11)  # all the room there is
+        budget = ByteBudget(10)
+        slow, quick = Pipe(budget), Pipe(budget)
+        slow.put(b"x" * 11)  # all the budget there is
         quick.put(b"y")
-        reading = asyncio.ensure_future(quick.until_room())
+        reading = asyncio.ensure_future(quick.until_not_full())
         await asyncio.sleep(0)
         assert not reading.done()
         assert quick.take() == [b"y"]
@@ -78,11 +78,11 @@
         assert not taking.done()
         quick.end(False)
         await taking
-        waiting = asyncio.ensure_future(slow.until_room())
+        waiting = asyncio.ensure_future(slow.until_not_full())
         await asyncio.sleep(0)
         slow.abandon()
         await waiting
-        assert room.held == 0
+        assert budget.held == 0
 
     asyncio.run(play())
 
@@ -127,7 +127,7 @@
             held.actor.close()
         else:
             ended.pipe.abandon()
-            assert not asyncio.run(held.actor._has_room(held.connection, ended.pipe))
+            assert not asyncio.run(held.actor._until_not_full(held.connection, ended.pipe))
             held.take(servers.Broken(held.connection))
         assert held.writer.transport.gone and held.actor.open == 0 and not held.actor.delivering
         assert ended.pipe.whole is False or how == "nobody waits"
@@ -145,7 +145,7 @@
     place = Place()
     place.ask()
     (attempt,) = place.started
-    late = Pipe(Room(0))
+    late = Pipe(ByteBudget(0))
     place.pass_time(900.0)
     place.give(Ended(attempt, api.Result.OK, payload=b"x", pipe=late))
     assert late.abandoned
@@ -154,7 +154,7 @@
 def test_its_time_is_that_of_its_first_bytes_and_it_counts_once_it_is_whole() -> None:
     for whole, end in ((True, End.SUCCESS), (False, End.FAILURE), (None, End.ABANDONED)):
         place = Place()
-        request, pipe = place.ask(), Pipe(Room(0))
+        request, pipe = place.ask(), Pipe(ByteBudget(0))
         place.give(Ended(place.started[0], api.Result.OK, payload=b"x", pipe=pipe))
         assert place.answers == [(request, Served(b"x", pipe))] and place.router.telemetry.inflight == 1
         place.pass_time(5000.0)  # long past its deadline: what the server still gives is not cut off
@@ -170,7 +170,7 @@
         self.writer.write = self.writer.transport.sent.extend  # type: ignore[attr-defined]
         self.reader.feed_data(b"mg a v O1 Pc=read,d=500\r\nmn\r\n")
         (asked,) = await self.settle()
-        pipe = Pipe(self.front.room)
+        pipe = Pipe(self.front.budget)
         pipe.put(piece)
         answer = meta.ServerAnswer(meta.Kind.VALUE, b"1", (GOT,), length=LONG)
         self.actor.answer(asked.request, Served(answer, pipe))
@@ -203,7 +203,7 @@
         pipe = await Reader.begin(now)
         now.reader.feed_eof()
         await now.settle()
-        assert pipe.abandoned and now.writer.transport.gone and now.front.room.held == 0
+        assert pipe.abandoned and now.writer.transport.gone and now.front.budget.held == 0
 
     talk(script)
 
@@ -216,7 +216,7 @@
         await now.settle()
         pipe.put(VALUE[20:])  # the writer waits, so this one stays
         await now.settle()
-        assert pipe.held == LONG - 20 and pipe.is_full()  # there is no room beyond one piece
+        assert pipe.held == LONG - 20 and pipe.is_full()  # there is no budget beyond one piece
         now.writer.transport.unsent = 0
         await now.settle()
         assert not pipe.is_full()
@@ -231,7 +231,7 @@
 
 def test_a_large_write_is_asked_for_with_its_head_and_its_time_runs_from_its_last_byte() -> None:
     async def script(now: Talk) -> None:
-        now.front.room.most = 1 << 20
+        now.front.budget.most = 1 << 20
         now.reader.feed_data(PUT + VALUE[:7])
         assert await now.settle() == []  # a head alone holds no place at a server
         now.reader.feed_data(VALUE[7:-9])
@@ -257,7 +257,7 @@
         await now.settle()
         assert not now.writer.transport.sent
         now.reader.feed_data(VALUE[7:] + b"\r\n" + b"mn\r\n")
-        assert await now.settle() == [] and now.front.room.held == 0
+        assert await now.settle() == [] and now.front.budget.held == 0
 
     assert talk(script) == b"SERVER_ERROR busy 100\r\n" + meta.READY_LINE
 
@@ -265,7 +265,7 @@
 def test_a_write_that_does_not_end_as_it_said_or_never_ends_has_not_been_asked() -> None:
     for how in ("bad end", "stuck", "left"):
         async def script(now: Talk, how: str = how) -> None:
-            now.front.room.most = 1 << 20
+            now.front.budget.most = 1 << 20
             now.reader.feed_data(PUT + VALUE[:-7])
             (asked,) = await now.settle()
             if how == "bad end":
@@ -287,13 +287,13 @@
 
 def test_a_head_whose_value_never_comes_was_never_asked() -> None:
     async def script(now: Talk) -> None:
-        now.front.room.most = 1 << 20
+        now.front.budget.most = 1 << 20
         now.reader.feed_data(PUT + VALUE[:7])
         assert await now.settle() == []
         now.router.clock.time += MIDWAY  # type: ignore[attr-defined]
         now.actor.look(now.front.clock.now(), False)
         assert await now.settle() == [] and now.writer.transport.gone
-        assert not now.front.open_ids and now.front.room.held == now.router.telemetry.inflight == 0
+        assert not now.front.open_ids and now.front.budget.held == now.router.telemetry.inflight == 0
 
     assert talk(script) == b"CLIENT_ERROR command not finished\r\n"
 
@@ -318,7 +318,7 @@
         super().__init__()
         self.writer.write = self.writer.transport.sent.extend  # type: ignore[attr-defined]
         self.job = self.attempt(PUT)
-        self.body = self.job.request.body = Pipe(Room(0))
+        self.body = self.job.request.body = Pipe(ByteBudget(0))
         self.body.put(VALUE[:7])
 
     async def begin(self) -> None:
@@ -354,7 +354,7 @@
 def test_a_request_whose_value_is_coming_has_until_its_last_byte_and_then_its_own_time() -> None:
     place = Place()
     now = place.clock.time
-    request = Taken(place, THROUGH.classes[1], 7, now + 30000.0, b"p", now, is_write=True, body=Pipe(Room(0)))
+    request = Taken(place, THROUGH.classes[1], 7, now + 30000.0, b"p", now, is_write=True, body=Pipe(ByteBudget(0)))
     place.router.take(request)
     place.router.turn()
     place.pass_time(2500.0)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -1,4 +1,4 @@
-"""An upgrade and an exclusion under load: two real processes, stand-ins for all else, on loopback."""
+"""An upgrade and maintenance under load: two real processes, stand-ins for all else, on loopback."""
 
 from __future__ import annotations
 
@@ -143,7 +143,7 @@
                 reader = None
 
 
-def test_an_upgrade_under_load_turns_nobody_away_and_keeps_to_exclusions_and_limits(tmp_path: Path) -> None:
+def test_an_upgrade_under_load_turns_nobody_away_and_keeps_to_maintenance_and_limits(tmp_path: Path) -> None:
     async def play() -> None:
         site = Site()
         await site.start()
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -327,7 +327,7 @@
     first = only_send(world.ask(7, KEYED))
     second = only_send(world.end(first, Result.RESET, elapsed=0.0))
     assert second.server == first.server
-    world.balancer.servers[first.server].told_shut = True
+    world.balancer.servers[first.server].unavailable = True
     for server in world.balancer.servers.values():
         server.trust.back_until = world.now + 9000.0
     done = world.end(second, Result.CONNECT_FAILED, attempt=1, elapsed=0.0)
