--- a/starlingthread/balance/__init__.py
+++ b/starlingthread/balance/__init__.py
@@ -1,1 +1,1 @@
-"""How load is spread over the servers, beyond one key's usual homes. No I/O, no clock; docs/design/balance.md."""
+"""How load is spread over the servers, beyond one key's usual owners. No I/O, no clock; docs/design/balance.md."""
--- a/starlingthread/balance/view.py
+++ b/starlingthread/balance/load.py
@@ -18,7 +18,7 @@
 FIELDS = ("inflight", "queue", "util")  # of a report, that tell of load
 
 
-class Seen:
+class ServerLoad:
     """What was seen of one server last."""
 
     __slots__ = ("lag", "lag_at", "report", "report_at")
@@ -28,7 +28,7 @@
         self.lag, self.lag_at = 0.0, -math.inf  # ms of waiting that our last attempt met, and when
 
 
-class Views:
+class LoadEstimates:
     """What is made of it, beside the means over all servers."""
 
     __slots__ = ("_fields", "mean_lag", "mean_report")
@@ -41,17 +41,17 @@
         """Take in which values a report holds, in which order."""
         self._fields = {name: fields.index(name) for name in FIELDS if name in fields}
 
-    def lag(self, now: float, seen: Seen) -> float:
+    def lag(self, now: float, seen: ServerLoad) -> float:
         """Return the waiting to expect: what our last attempt there met, fading to the mean over all servers."""
         fresh = math.exp2((seen.lag_at - now) / LAG_LIFE)
         return seen.lag * fresh + self.mean_lag * (1 - fresh)
 
-    def told(self, now: float, seen: Seen) -> float:
+    def reported(self, now: float, seen: ServerLoad) -> float:
         """Return the waiting that a server's last report tells of, fading likewise."""
         fresh = math.exp2((seen.report_at - now) / REPORT_LIFE)
         return seen.report * fresh + self.mean_report * (1 - fresh)
 
-    def hear(self, now: float, seen: Seen, report: Sequence[float], work: float) -> None:
+    def hear(self, now: float, seen: ServerLoad, report: Sequence[float], work: float) -> None:
         """Take in a report; work: ms that a request takes. One that lacks a value tells 0 for it."""
         if not report or not self._fields:
             return
@@ -62,7 +62,7 @@
         seen.report, seen.report_at = max(waits) * work, now
         self.mean_report += (seen.report - self.mean_report) * REPORT_SHARE
 
-    def met(self, now: float, seen: Seen, lag: float, counts: bool) -> None:
+    def met(self, now: float, seen: ServerLoad, lag: float, counts: bool) -> None:
         """Take in the waiting that an attempt met, and whether it counts for the mean."""
         seen.lag, seen.lag_at = max(0.0, lag), now
         if counts:
--- a/starlingthread/balance/hot.py
+++ b/starlingthread/balance/popularity.py
@@ -1,8 +1,8 @@
-"""How many homes a key should have, from how often this router is asked for it.
+"""How many owners a key should have, from how often this router is asked for it.
 
-One key of a Zipf law can be a tenth of all requests: at one home that is a tenth of the load on one server of sixty. A
-further home pays as long as each home is asked for the key often enough before it loses it, be it that a write voids
-all copies, or that nobody asks: each loss is one more fetch, at every home. A router of hundreds sees a hot key a few
+One key of a Zipf law can be a tenth of all requests: at one owner that is a tenth of the load on one server of sixty. A
+further owner pays as long as each owner is asked for the key often enough before it loses it, be it that a write voids
+all copies, or that nobody asks: each loss is one more fetch, at every owner. A router of hundreds sees a hot key a few
 times only, so it counts in two memories, a short one that follows a sudden crowd and a long one that tells rare keys
 apart, and believes what is left of a count when its chance (one standard deviation of a Poisson count) is taken off.
 """
@@ -14,13 +14,13 @@
 SHORT, LONG = 5000.0, 60000.0  # ms; half-lives of the two memories
 LIVES = (SHORT / math.log(2), LONG / math.log(2))
 KEPT = 10000.0  # ms; about as long as a cache keeps what nobody asks for (policy.HALF_LIFE)
-ASKED = 4.0  # times that all routers together must ask a home for the key before it loses it, to be worth its fetch
-DOWN = 0.5  # of what the number of homes asks for: below it they are given back, so that they do not swing
+ASKED = 4.0  # times that all routers together must ask an owner for the key before it loses it, to be worth its fetch
+DOWN = 0.5  # of what the number of owners asks for: below it they are given back, so that they do not swing
 PRIOR = 10.0  # reads of a key that weigh as much as what is known of all keys, in its share of writes
 GAIN = 0.01  # weight of one request in the share of writes among all
 
 
-class Crowd:
+class FleetDemand:
     """What this router knows of all its keys together."""
 
     __slots__ = ("routers", "servers", "sharing", "written")
@@ -32,14 +32,14 @@
     def know(self, routers: int, servers: int, zones: int) -> None:
         """Take in how large the fleet is."""
         self.routers, self.servers = routers, servers
-        self.sharing = max(1.0, routers / max(1, zones))  # routers that share the homes of a zone
+        self.sharing = max(1.0, routers / max(1, zones))  # routers that share the owners of a zone
 
     def asked(self, write: bool) -> None:
         """Take in a request for any key."""
         self.written += (write - self.written) * GAIN
 
 
-class Heat:
+class Popularity:
     """How often one key is asked for."""
 
     __slots__ = ("_at", "_long", "_short", "_writes", "copies")
@@ -47,20 +47,20 @@
     def __init__(self) -> None:
         self._at = -math.inf  # ms
         self._short = self._long = self._writes = 0.0
-        self.copies = 0  # homes that it has for being hot, a power of two; 0: the usual ones
+        self.copies = 0  # owners that it has for being hot, a power of two; 0: the usual ones
 
-    def asked(self, now: float, write: bool, crowd: Crowd) -> bool:
-        """Take in that this router is asked for it; tell whether its number of homes changes."""
+    def asked(self, now: float, write: bool, demand: FleetDemand) -> bool:
+        """Take in that this router is asked for it; tell whether its number of owners changes."""
         passed = max(0.0, now - self._at)
         fade = math.exp(-passed / LIVES[1])
         self._short = self._short * math.exp(-passed / LIVES[0]) + (not write)
         self._long = self._long * fade + (not write)
         self._writes = self._writes * fade + write
         self._at = now
-        crowd.asked(write)
-        rate = self._per_ms() * crowd.routers  # all routers get like parts of the traffic
-        writes = rate * (self._writes + PRIOR * crowd.written) / (self._long + PRIOR)
-        wanted = min(crowd.servers, rate / (1.0 / KEPT + writes) / ASKED)
+        demand.asked(write)
+        rate = self._per_ms() * demand.routers  # all routers get like parts of the traffic
+        writes = rate * (self._writes + PRIOR * demand.written) / (self._long + PRIOR)
+        wanted = min(demand.servers, rate / (1.0 / KEPT + writes) / ASKED)
         if wanted >= max(2, 2 * self.copies):
             self.copies = 1 << int(math.log2(wanted))
         elif self.copies and wanted < self.copies * DOWN:
--- a/starlingthread/balance/homes.py
+++ b/starlingthread/balance/rendezvous.py
@@ -1,8 +1,8 @@
-"""Which servers are a key's homes: weighted rendezvous hashing, the same at every router with the same list.
+"""Which servers are a key's owners: weighted rendezvous hashing, the same at every router with the same list.
 
-A hot key has more homes than a router keeps to. All routers draw the same many, and each keeps to few of them, by a
-hash of its own number: so the key's load is spread evenly over its homes without a word between routers, each home
-still sees it often enough to keep it, and a router that thinks it less hot uses homes that the others use too.
+A hot key has more owners than a router keeps to. All routers draw the same many, and each keeps to few of them, by a
+hash of its own number: so the key's load is spread evenly over its owners without a word between routers, each owner
+still sees it often enough to keep it, and a router that thinks it less hot uses owners that the others use too.
 """
 
 from __future__ import annotations
@@ -22,52 +22,52 @@
     return value ^ (value >> 32)
 
 
-class Place(NamedTuple):
-    """A server that may be a home."""
+class Candidate(NamedTuple):
+    """A server that may be an owner."""
 
     salt: int
     weight: float
     number: int
 
 
-class Home(NamedTuple):
-    """A home of a key: its rank for this router, and whether it is one of the zone's own."""
+class Owner(NamedTuple):
+    """An owner of a key: its rank for this router, and whether it is one of the zone's own."""
 
     number: int
     rank: int
     near: bool
 
 
-class Homes:
-    """The servers from which homes are drawn: all, and those of this router's zone."""
+class Rendezvous:
+    """The servers from which owners are drawn: all, and those of this router's zone."""
 
     __slots__ = ("_all", "_me", "_near", "usual", "version")
 
     def __init__(self, me: int, usual: int) -> None:
-        self.usual = usual  # homes of a key in each of the two groups
+        self.usual = usual  # owners of a key in each of the two groups
         self.version = 0  # of the list
         self._me = mix(me + 1)
-        self._all: list[Place] = []
-        self._near: list[Place] = []
+        self._all: list[Candidate] = []
+        self._near: list[Candidate] = []
 
-    def update(self, places: list[Place], near: list[Place]) -> None:
+    def update(self, places: list[Candidate], near: list[Candidate]) -> None:
         """Take in a new list; where all servers are near there is one group only."""
         self.version += 1
         self._all, self._near = ([place._replace(weight=max(place.weight, LEAST)) for place in group]
                                  for group in (places, near if len(near) < len(places) else []))
 
-    def of(self, key: int, copies: int = 0) -> list[Home]:
-        """Return this router's homes of a key (a 64-bit hash), the zone's first; copies: of a hot key, in the fleet."""
-        homes = []
+    def of(self, key: int, copies: int = 0) -> list[Owner]:
+        """Return a key's owners for this router (key: a 64-bit hash), the zone's first; copies: of a hot key."""
+        owners = []
         for near, group in ((True, self._near), (False, self._all)):
             share = math.ceil(copies * len(group) / len(self._all)) if group else 0
             drawn = self._drawn(key, group)
             if share > self.usual:
                 # Once more, by this router's own hash, among those that are the same at all.
                 drawn = self._drawn(key ^ self._me, [place for _, _, place in nlargest(share, drawn)])
-            homes += [Home(number, rank, near) for rank, (_, number, _) in enumerate(nlargest(self.usual, drawn))]
-        return homes
+            owners += [Owner(number, rank, near) for rank, (_, number, _) in enumerate(nlargest(self.usual, drawn))]
+        return owners
 
     @staticmethod
-    def _drawn(key: int, group: list[Place]) -> list[tuple[float, int, Place]]:
+    def _drawn(key: int, group: list[Candidate]) -> list[tuple[float, int, Candidate]]:
         return [(math.log((mix(key ^ place.salt) + 1) / MASK) / place.weight, place.number, place) for place in group]
--- a/starlingthread/cli/main.py
+++ b/starlingthread/cli/main.py
@@ -167,7 +167,7 @@
     if (even := results.evenness) is not None:
         console.print(f"servers: busiest {even.busiest_1s:.2f} of its part in 1 s, {even.busiest_10s:.2f} in 10 s, "
                       f"least {even.least:.2f}, {even.idle_servers} idle at times, herd index "
-                      f"{even.herd_index:.2f}, period {even.period_s:g} s, homes differ {even.homes_differ:.3f}, "
+                      f"{even.herd_index:.2f}, period {even.period_s:g} s, owners differ {even.owners_differ:.3f}, "
                       f"{even.connections:.0f} connections", highlight=False)
     busiest = sorted(results.routers, key=lambda r: -r.requests)[:MANY_ROUTERS]
     if len(busiest) < len(results.routers):
--- a/starlingthread/failover/plan.py
+++ b/starlingthread/failover/plan.py
@@ -21,7 +21,7 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-from ..balance.homes import MASK, mix
+from ..balance.rendezvous import MASK, mix
 
 WITNESSES = 15  # of a zone; odd, so that two halves do not tie
 LEAST_WORDS = 2  # that call a zone lost
--- a/starlingthread/lab/policies.py
+++ b/starlingthread/lab/policies.py
@@ -10,7 +10,7 @@
 import os
 from pathlib import Path
 
-from ..balance.homes import mix
+from ..balance.rendezvous import mix
 from ..emulator.truth import CELL, VARIABLE, server_name
 from ..interface import Settings
 from ..net.registry import Ids
@@ -23,7 +23,7 @@
     """A choice among the servers that may be asked now."""
 
     def _choose(self, now: float, tracked: Tracked, entry: Key | None) -> Server | None:
-        open_now = [s for s in self.ready if s.trust.back_until <= now and s.line.server not in tracked.bad
+        open_now = [s for s in self.ready if s.outliers.ejected_until <= now and s.line.server not in tracked.bad
                     and (s.since <= 0 or self._warm_enough(now, s, tracked))]
         tracked.chance, tracked.role = 1.0, -1
         return self.pick(now, tracked, open_now) if open_now else None
@@ -58,14 +58,14 @@
 
 
 class PlainHash(Other):
-    """The key's first home."""
+    """The key's first owner."""
 
     def pick(self, now: float, tracked: Tracked, servers: list[Server]) -> Server:
         return self.ranked(tracked, servers)[0]
 
 
 class BoundedHash(Other):
-    """The first home that has no more of this router's requests out than its bound."""
+    """The first owner that has no more of this router's requests out than its bound."""
 
     def pick(self, now: float, tracked: Tracked, servers: list[Server]) -> Server:
         most = math.ceil(BOUND * (sum(s.out for s in servers) + 1) / len(servers))  # so one has room at any time
--- a/starlingthread/limits/learn.py
+++ b/starlingthread/limits/feedback.py
@@ -4,13 +4,13 @@
 
 from ..interface import Note, Outcome, Result
 from .concurrency import Concurrency
-from .fetches import Fetches
+from .origin_limit import OriginLimit
 
 LATE = 0.5  # of the aim; who waits longer at a server than this leaves no time to make up for it elsewhere
 
 
-def learn_limits(
-        server: Concurrency, fetches: Fetches, event: Outcome, out: int, fetch: float, cost: float, aim: float,
+def adjust_limits(
+        server: Concurrency, fetches: OriginLimit, event: Outcome, out: int, fetch: float, cost: float, aim: float,
         usual: float) -> None:
     """Take in an outcome of an attempt.
 
--- a/starlingthread/limits/seconds.py
+++ b/starlingthread/limits/hedging.py
@@ -12,7 +12,7 @@
 from __future__ import annotations
 
 from ..interface import Result
-from .trust import Trust
+from .outliers import OutlierDetector
 
 AFTER = 0.65  # of the aim; what is out longer may get a copy; later still if it was uncounted
 UNCOUNTED = 1.2  # times that
@@ -25,7 +25,7 @@
 OVERDUE = 2.0  # times that a request and a fetch take, after which it is likely no fetch that is waited for
 
 
-class Seconds:
+class HedgeBudget:
     """What second copies may be sent, and for whom they are worth their work."""
 
     __slots__ = ("dead", "saved")
@@ -39,7 +39,7 @@
         self.saved = min(MOST, self.saved + (LOST_SHARE if self.dead > DEAD else SHARE))
         return AFTER * aim * (1.0 if counted else UNCOUNTED)
 
-    def pays(self, sent_at: float, trust: Trust, chance: float, over: float, draw: float) -> bool:
+    def pays(self, sent_at: float, outliers: OutlierDetector, chance: float, over: float, draw: float) -> bool:
         """Tell whether what was sent then, and is cached by this chance, is worth a copy; 'draw' is in [0, 1).
 
         over: times that it is out already what a request and a fetch take.
@@ -47,11 +47,11 @@
         if self.saved < 1:
             return False
         overdue = chance > CACHED or over > OVERDUE
-        return trust.heard_at <= sent_at or (overdue and self.dead > DEAD and draw >= LET_BE)
+        return outliers.heard_at <= sent_at or (overdue and self.dead > DEAD and draw >= LET_BE)
 
-    def lost(self, result: Result, sent_at: float, trust: Trust) -> bool:
+    def lost(self, result: Result, sent_at: float, outliers: OutlierDetector) -> bool:
         """Tell whether what ended so got lost by itself, while its server answered what was sent later."""
-        return result == Result.TIMEOUT and self.dead > DEAD and trust.answered > sent_at
+        return result == Result.TIMEOUT and self.dead > DEAD and outliers.answered > sent_at
 
     def ended(self, result: Result, chance: float) -> None:
         """Take in how one ended that was looked at and got no copy."""
--- a/starlingthread/limits/fetches.py
+++ b/starlingthread/limits/origin_limit.py
@@ -4,20 +4,20 @@
 server's is (`limits/concurrency.py`): from the times and the failures of what turned out to be fetches. So it is the
 origin's room itself that is learned, not how many failures there were, and it opens within some answers of a jam's
 end: a gate that opens by the clock kept refusing for seconds what the origin could serve, and what is refused is
-cached nowhere. While fetches are refused, keys give up their copies (`limits/copies.py`), which are fetched again.
+cached nowhere. While fetches are refused, keys give up their copies (`limits/replicas.py`), which are fetched again.
 """
 
 from __future__ import annotations
 
 from .concurrency import Concurrency
-from .copies import CopyLimit
+from .replicas import ReplicaLimit
 
 LEAST = 0.2  # at once: who asks for none never learns that the origin is well again
 LATE = 0.9  # of the aim; a fetch that takes longer earns nothing: the origin has too many
 GAIN = 0.05  # weight of one likely fetch in the share of them that is refused
 
 
-class Fetches:
+class OriginLimit:
     """What is out at the origin on our account, as far as we know, and how much may be."""
 
     __slots__ = ("copies", "limit", "out", "refused")
@@ -25,7 +25,7 @@
     def __init__(self) -> None:
         self.out = 0.0  # sum of the chances that what is out is a fetch
         self.refused = 0.0  # share of likely fetches that were refused lately
-        self.limit, self.copies = Concurrency(LEAST), CopyLimit()
+        self.limit, self.copies = Concurrency(LEAST), ReplicaLimit()
 
     def allows(self, now: float, chance: float, draw: float, write: bool = False) -> bool:
         """Tell whether what is a fetch by this chance may go; what hardly is one counts for little.
--- a/starlingthread/limits/origin.py
+++ b/starlingthread/limits/origin_throttle.py
@@ -12,7 +12,7 @@
 PRESSURE_GAIN = 1.5  # the origin may be asked for this many times what it serves, not for more
 
 
-class OriginGuard:
+class OriginThrottle:
     """How hard the origin is pressed, learned from its answers alone: asked for against served in time."""
 
     def __init__(self, first_guess: float) -> None:
--- a/starlingthread/limits/trust.py
+++ b/starlingthread/limits/outliers.py
@@ -11,17 +11,17 @@
 UNREACHED = 2  # connections in a row that never came up, likewise
 
 
-class Trust:
+class OutlierDetector:
     """What one server's failures in a row say of it.
 
     Guards against leaving out half a fleet because single answers are spoilt or connections break, which scatters
     its keys and jams the origin; and against counting what was out when it failed once more.
     """
 
-    __slots__ = ("answered", "back_until", "failed_at", "fails", "heard_at")
+    __slots__ = ("answered", "ejected_until", "failed_at", "fails", "heard_at")
 
     def __init__(self) -> None:
-        self.fails, self.failed_at, self.back_until = 0, -math.inf, -math.inf
+        self.fails, self.failed_at, self.ejected_until = 0, -math.inf, -math.inf
         self.answered = -math.inf  # when the last attempt was sent that it has answered
         self.heard_at = -math.inf  # when it said anything last
 
@@ -42,7 +42,7 @@
         self.fails, self.failed_at = self.fails + 1, now
         beyond = self.fails - (UNREACHED if unreached else SPOILT)
         if beyond >= 0:
-            self.back_until = now + BACK_OFF * float(1 << min(beyond, 4)) * spread
+            self.ejected_until = now + BACK_OFF * float(1 << min(beyond, 4)) * spread
 
     @property
     def spoilt(self) -> bool:
--- a/starlingthread/limits/work.py
+++ b/starlingthread/limits/service_time.py
@@ -18,7 +18,7 @@
 USED = 1e-9, 1e12  # hints outside of this, and what is no number, count as none
 
 
-class Work:
+class ServiceTime:
     """Of one class: the time of a typical request in ms, and what hints are worth."""
 
     __slots__ = ("covariance", "hint", "seen", "time", "typical", "variance")
--- a/starlingthread/limits/core.py
+++ b/starlingthread/limits/shedding.py
@@ -10,7 +10,7 @@
 GAIN = 0.05  # weight of one request's wait in the mean
 
 
-class OwnCore:
+class LoadShedder:
     """The share of requests to refuse at once, from how long requests lay here before they were looked at.
 
     Guards against a day on which all wait for us: what we can't do is refused at once and cheaply, so that the rest
--- a/starlingthread/limits/ramp.py
+++ b/starlingthread/limits/slow_start.py
@@ -18,7 +18,7 @@
 WARM_LIFE = 100.0  # ms for which the sum over all servers is good
 
 
-def ramp(now: float, started: float, cold_from: float, cold_time: float) -> float:
+def warm_share(now: float, started: float, cold_from: float, cold_time: float) -> float:
     """Return the least share of its capacity that a server has by now; 1 once it is warm. Times in ms."""
     age = now - started
     if started <= 0 or age >= cold_time:
@@ -26,7 +26,7 @@
     return cold_from + (1 - cold_from) * max(0.0, age) / cold_time
 
 
-def cold_rate(part: float, served: float, warm: float, rules: Settings) -> float:
+def slow_start_rate(part: float, served: float, warm: float, rules: Settings) -> float:
     """Return how many requests a ms this router may send to a cold server.
 
     part: what the server can do now, and warm: what all can do, both in warm servers of the quickest kind; served:
@@ -60,7 +60,7 @@
         return self.count * math.exp2((self.at - now) / self.half_life) / max(1.0, seen)
 
 
-def first_saving(chance: float, routers: int) -> float:
+def first_tokens(chance: float, routers: int) -> float:
     """Return what a router has saved up for a server that it just heard of, from a number in [0, 1) drawn at random.
 
     One of all the routers may send at once, as a lone one may; the others come one by one.
@@ -68,7 +68,7 @@
     return 1.0 if chance * routers < 1 else (chance * routers - 1) / max(1, routers - 1)
 
 
-class ColdBudget:
+class SlowStartBudget:
     """The requests that this router may send to one cold server; counted in requests of mean cost."""
 
     __slots__ = ("at", "saved")
--- a/starlingthread/limits/speed.py
+++ b/starlingthread/limits/speed.py
@@ -2,7 +2,7 @@
 
 A list may give the same weight to machines of which one kind is half as fast again as the other. A server's own
 answers are too few to tell, where there are many servers and many routers; those of a kind are many, so all routers
-come to the same figures and go on to name the same homes.
+come to the same figures and go on to name the same owners.
 """
 
 from __future__ import annotations
@@ -10,7 +10,7 @@
 import math
 
 GAIN = 0.005  # how far one answer moves a kind's figure; more while there were few
-STEP = 1.1  # figures are used when one has moved this far, so that homes seldom move
+STEP = 1.1  # figures are used when one has moved this far, so that owners seldom move
 ENOUGH = 50  # answers of a kind before it counts
 
 
--- a/starlingthread/load/evenness.py
+++ b/starlingthread/load/evenness.py
@@ -20,7 +20,7 @@
 BIN = 50.0  # ms: in which arrivals are counted for the herd index
 SHORT, LONG = 1000.0, 10000.0  # ms: windows for the busiest server
 IDLE_FOR, IDLE_UNDER = 2000.0, 0.25  # ms, and share of its part: a server that had less for so long was idle
-SETTLED = 3  # attempts of one router for one key from which the server it used most is its home
+SETTLED = 3  # attempts of one router for one key from which the server it used most is its owner
 CHANCE = 0.99  # a period is one only if it is stronger than this share of what chance gives
 LONGEST = 10.0  # s: periods longer than this can't be told from a drift
 
@@ -40,7 +40,7 @@
     herd_index: float = 0.0  # variance of arrivals in 50 ms over their mean, within 10 s; Poisson's is 1
     period_s: float = 0.0  # strongest period in a server's load; 0: none beyond chance
     period_strength: float = 0.0  # its power against what chance gives at most (1)
-    homes_differ: float = 0.0  # share of pairs of routers that have another first home for a key
+    owners_differ: float = 0.0  # share of pairs of routers that have another first owner for a key
     connections: float = 0.0  # at a server, mean
     connections_most: float = 0.0
 
@@ -108,7 +108,7 @@
     return (round(float(seconds[seconds <= LONGEST][at]), 2) if strength > 1.0 else 0.0), round(strength, 3)
 
 
-def _homes_differ(ledger: Ledger) -> float:
+def _owners_differ(ledger: Ledger) -> float:
     """Return for how many pairs of routers that asked for a key often the server used most is another one."""
     asked = {t.rid: (t.key, t.router) for t in ledger.tries}
     used: dict[int, dict[int, Counter[int]]] = defaultdict(lambda: defaultdict(Counter))
@@ -117,10 +117,10 @@
             used[who[0]][who[1]][one.server] += 1
     pairs = differ = 0
     for routers in used.values():
-        homes = [c.most_common(1)[0][0] for c in routers.values() if c.total() >= SETTLED]
-        for one_home, other in combinations(homes[:20], 2):
+        owners = [c.most_common(1)[0][0] for c in routers.values() if c.total() >= SETTLED]
+        for one_owner, other in combinations(owners[:20], 2):
             pairs += 1
-            differ += one_home != other
+            differ += one_owner != other
     return differ / pairs if pairs else 0.0
 
 
@@ -150,5 +150,5 @@
         round(float(whole.std()), 3) if len(whole) else 0.0,
         int((idle < IDLE_UNDER).any(axis=1).sum()),
         round(float((idle < IDLE_UNDER).sum() / max(1, np.isfinite(idle).sum())), 4),
-        round(_herd(counts, serving), 3), period, strength, round(_homes_differ(ledger), 4),
+        round(_herd(counts, serving), 3), period, strength, round(_owners_differ(ledger), 4),
         round(float(np.mean(open_now)), 1) if open_now else 0.0, float(max(open_now, default=0)))
--- a/starlingthread/load/results.py
+++ b/starlingthread/load/results.py
@@ -22,7 +22,7 @@
 PERCENTILES = (50.0, 75.0, 90.0, 95.0, 99.0, 99.9, 99.99, 100.0)
 
 
-EVENNESS = ("busiest_1s", "busiest_10s", "least", "idle_share", "herd_index", "homes_differ", "connections")
+EVENNESS = ("busiest_1s", "busiest_10s", "least", "idle_share", "herd_index", "owners_differ", "connections")
 
 
 class ResultError(Exception):
--- a/starlingthread/policy.py
+++ b/starlingthread/policy.py
@@ -17,31 +17,33 @@
     Note, Outcome, PeerMessage, ProbeResult, Refuse, Request, RequestClass, Result, Retuned, Send,
     ServerState, SetTimer, Settings, Timer, Watch, Withdrawn,
 )
-from .balance.hot import Crowd
-from .balance.key import KeyHomes
-from .balance.view import CORES, Seen, Views
-from .balance.homes import MASK, Home, Homes, Place, mix
+from .balance.popularity import FleetDemand
+from .balance.key import KeyOwners
+from .balance.load import CORES, ServerLoad, LoadEstimates
+from .balance.rendezvous import MASK, Owner, Rendezvous, Candidate, mix
 from .limits.concurrency import Concurrency
-from .limits.core import OwnCore
-from .limits.fetches import Fetches
-from .limits.learn import learn_limits
-from .limits.origin import OriginGuard
-from .limits.ramp import MARGIN, WARM_LIFE, ColdBudget, Pace, cold_rate, first_saving, ramp
+from .limits.shedding import LoadShedder
+from .limits.origin_limit import OriginLimit
+from .limits.feedback import adjust_limits
+from .limits.origin_throttle import OriginThrottle
+from .limits.slow_start import (
+    MARGIN, WARM_LIFE, Pace, SlowStartBudget, first_tokens, slow_start_rate, warm_share,
+)
 from .limits.reserve import Reserve
-from .limits.seconds import Seconds
+from .limits.hedging import HedgeBudget
 from .limits.speed import Speeds
-from .limits.trust import Trust
-from .limits.work import Work
+from .limits.outliers import OutlierDetector
+from .limits.service_time import ServiceTime
 
 if TYPE_CHECKING:  # else only once it is on
     from .failover.zones import Zones
 
 HALF_LIFE = 10000.0  # ms; a count halves in this time: about as long as a cache keeps what nobody asks for
 FLOOR = 0.1  # affinity of a server without a count; far under one count's log(N)
-HOME_FLOOR = 1.0  # affinity of an uncounted key's first homes, halved for each rank after; under one count's
-HOMES = 3  # homes of a key by stable hash, in the fleet and again in our zone
-SAMPLED = 2  # servers scored besides homes and counted ones, a way out when all of those are loaded
-PRIOR = (0.8, 0.5)  # first guesses of the cached chance at an uncounted home: in the fleet, in our zone
+OWNER_FLOOR = 1.0  # affinity of an uncounted key's first owners, halved for each rank on; under one count's
+OWNERS = 3  # owners of a key by stable hash, in the fleet and again in our zone
+SAMPLED = 2  # servers scored besides owners and counted ones, a way out when all of those are loaded
+PRIOR = (0.8, 0.5)  # first guesses of the cached chance at an uncounted owner: in the fleet, in our zone
 MAX_KEYS = 20000  # keys with counts; bounds memory, far above what one balancer sees in a cache's life
 KEY_LIFE = 35000.0  # ms; a key that nobody asked for so long has no count left that matters
 MAX_TURNED = 3  # servers that may fail a request before it is given up; more only adds to a crowd
@@ -61,15 +63,15 @@
     """What this balancer knows of one server."""
 
     __slots__ = ("budget", "limit", "line", "out", "salt", "seen", "shut_at", "since", "tally",
-                 "unavailable", "trust")
+                 "unavailable", "outliers")
 
     def __init__(self, line: Member, saved: float, since: float) -> None:
         self.line, self.since = line, since  # since: when it was as cold as at its start; 0: long ago
-        self.budget = ColdBudget(saved)  # while it is cold
+        self.budget = SlowStartBudget(saved)  # while it is cold
         self.unavailable = line.state != ServerState.READY
         self.tally, self.out = 0.0, 0  # cost and number of our attempts that are out
         self.limit = Concurrency()
-        self.seen, self.trust = Seen(), Trust()
+        self.seen, self.outliers = ServerLoad(), OutlierDetector()
         self.shut_at = math.inf  # when we were told that it drains or is gone
         self.salt = mix(line.server + 1)
 
@@ -77,11 +79,11 @@
 class Key:
     """Our counts of one key: per server the count, when it was last decayed, and the nudge of the chance."""
 
-    __slots__ = ("counts", "fetcher", "homes", "used_at", "waiting")
+    __slots__ = ("counts", "fetcher", "owners", "used_at", "waiting")
 
     def __init__(self) -> None:
         self.used_at = math.inf
-        self.homes = KeyHomes()
+        self.owners = KeyOwners()
         self.counts: dict[int, tuple[float, float, float]] = {}
         self.fetcher = 0  # the request whose fetch from the origin is out
         self.waiting: list[Tracked] = []
@@ -106,7 +108,7 @@
         self.failed_on = -1  # the server that failed it last, and may be asked once more
         self.chance = 1.0  # that the server chosen last has the key cached
         self.wake, self.waits = 0.0, 0  # when a held request goes on, and how often it waited for the origin
-        self.role = -1  # the last attempt went to an uncounted home: 0 of the fleet's, 1 of our zone's
+        self.role = -1  # the last attempt went to an uncounted owner: 0 of the fleet's, 1 of our zone's
 
 
 class Balancer:
@@ -117,8 +119,7 @@
         self.servers: dict[int, Server] = {}
         self.ready: list[Server] = []  # the cache servers that the list calls ready
         self.list_count = 0  # lists so far
-        self.places, self.places_at = Homes(settings.me, HOMES), -1  # the list that they were taken from
-        self.crowd = Crowd()
+        self.places, self.places_at = Rendezvous(settings.me, OWNERS), -1  # the list that they are from
         self.zones: Zones | None = None  # which zones are left alone; None: the operator's file has that off
         self.origin: Server | None = None
         self.prior = list(PRIOR)
@@ -126,19 +127,16 @@
         self.live: dict[int, Tracked] = {}
         self.held: dict[int, Tracked] = {}
         self.slow: list[tuple[float, int]] = []  # a heap: when to look if a request is still out, and its id
-        self.own, self.reserve = OwnCore(), Reserve()
+        self.own, self.reserve, self.pace = LoadShedder(), Reserve(), Pace(HALF_LIFE)  # of what is served
         self.look_at = math.inf  # when the next of these looks is due
-        self.seconds = Seconds()
         self.in_maintenance: set[int] = set()  # servers that operators leave out
-        self.work: dict[str, Work] = {}  # learned times of each class
-        self.views = Views()
+        self.work: dict[str, ServiceTime] = {}  # learned times of each class
+        self.crowd, self.hedging, self.views = FleetDemand(), HedgeBudget(), LoadEstimates()
         self._tune(settings)
         self.mean_work = self.work[settings.classes[0].name].typical
-        self.pace = Pace(HALF_LIFE)  # of what is served
         self.warm, self.warm_at = 0.0, -math.inf  # what all can do now, in quick warm servers
-        self.speeds = Speeds()
-        self.fetches = Fetches()
-        self.guard = OriginGuard(min(c.aim for c in settings.classes) * FETCH_SHARE)
+        self.speeds, self.fetches = Speeds(), OriginLimit()
+        self.guard = OriginThrottle(min(c.aim for c in settings.classes) * FETCH_SHARE)
         self.ask_fails, self.subscribed = 0, not settings.must_ask
         self.todo: list[Action] = []
 
@@ -146,7 +144,7 @@
         """Take in settings, the first or new ones; what was learned of a class stays with its name."""
         self.set, classes = settings.validated(), settings.classes
         self.views.know(settings.report_fields)
-        self.work = {c.name: self.work.get(c.name) or Work(c.aim * 0.1) for c in classes}
+        self.work = {c.name: self.work.get(c.name) or ServiceTime(c.aim * 0.1) for c in classes}
         self.through = settings.mode == "through"  # servers fetch what they lack
         self.least_worth = max(1e-6, min(c.worth for c in classes))
         self.keep_shut = 3 * max(c.deadline + c.memory_span for c in classes)
@@ -193,7 +191,7 @@
     def avoided(self, now: float) -> list[int]:
         """Return the listed servers that are left out now, by operators or by choice."""
         return [n for n, s in self.servers.items()
-                if not s.unavailable and (n in self.in_maintenance or s.trust.back_until > now)]
+                if not s.unavailable and (n in self.in_maintenance or s.outliers.ejected_until > now)]
 
     # membership
 
@@ -216,7 +214,7 @@
         for line in event.members:
             old = self.servers.get(line.server)
             if old is None or old.line.started != line.started:
-                saving = first_saving(self.rng.random(), self.set.balancers)
+                saving = first_tokens(self.rng.random(), self.set.balancers)
                 since = max(line.started, old.since if old else 0.0)
                 self.servers[line.server] = fresh = Server(line, saving, since)
                 fresh.tally, fresh.out = (old.tally, old.out) if old else (0.0, 0)
@@ -244,8 +242,8 @@
         elif event.server in self.in_maintenance:
             self.in_maintenance.remove(event.server)
             if server := self.servers.get(event.server):
-                server.since, server.trust = now, Trust()
-                server.budget = ColdBudget(first_saving(self.rng.random(), self.set.balancers))
+                server.since, server.outliers = now, OutlierDetector()
+                server.budget = SlowStartBudget(first_tokens(self.rng.random(), self.set.balancers))
         self._sort_out()
 
     def _forget_gone(self, now: float) -> None:
@@ -306,24 +304,27 @@
 
     def _load(self, now: float, server: Server, lag: float) -> float:
         """What our own attempts there have to wait for, and what else shows there."""
-        return server.tally / server.limit.width(CORES) + max(self.views.told(now, server.seen), lag)
+        return server.tally / server.limit.width(CORES) + max(self.views.reported(now, server.seen), lag)
 
     def _cost(self, tracked: Tracked, server: Server) -> float:
         """What a request should take there, in ms."""
-        return tracked.cost / self.speeds.of(server.line.kind)
+        return tracked.cost / self._speed(server)
+
+    def _speed(self, server: Server) -> float:
+        return self.speeds.of(server.line.kind)
 
     def _lag(self, now: float, server: Server) -> float:
         return self.views.lag(now, server.seen)
 
-    def _homes(self, now: float, entry: Key, req: Request) -> list[Home]:
-        """Return a key's homes by weighted stable hash: every balancer with the same list names the same."""
+    def _owners(self, now: float, entry: Key, req: Request) -> list[Owner]:
+        """Return a key's owners by weighted stable hash: every balancer with the same list names the same."""
         if self.places_at != self.list_count:
             self.places_at = self.list_count
-            self.places.update(*([Place(s.salt, s.line.weight * self.speeds.of(s.line.kind), s.line.server)
+            self.places.update(*([Candidate(s.salt, s.line.weight * self._speed(s), s.line.server)
                                   for s in self.ready if s.line.zone in zones]
                                  for zones in ({s.line.zone for s in self.ready}, {self.set.zone})))
         crowd = self.crowd if self.set.balance else None
-        return entry.homes.of(now, req.key, req.is_write, self.places, crowd)
+        return entry.owners.of(now, req.key, req.is_write, self.places, crowd)
 
     def _crossing(self, server: Server, cls: RequestClass) -> float:
         """What leaving the zone costs, in ms: its price in worth, and a request's worth is its aim."""
@@ -338,19 +339,19 @@
     def _choose(self, now: float, tracked: Tracked, entry: Key | None) -> Server | None:
         """Return the server with the least (load + expected cost) / affinity, of a bounded set."""
         counted = self._counted(now, entry) if entry else {}
-        homes = self._homes(now, entry, tracked.req) if entry else []
-        if entry and entry.homes.spread:  # back to our part of its homes alone
-            counted = {home.number: counted[home.number] for home in homes if home.number in counted}
+        owners = self._owners(now, entry, tracked.req) if entry else []
+        if entry and entry.owners.spread:  # back to our part of its owners alone
+            counted = {owner.number: counted[owner.number] for owner in owners if owner.number in counted}
         idf = math.log(max(1.0, len(self.ready) / len(counted))) if counted else 0.0
         total = sum(count for count, _ in counted.values())
         floors: dict[int, tuple[float, int]] = {}
         saves = (total + 1) * self.crowd.sharing * self.set.price_cross_zone * tracked.cls.aim
-        for number, rank, near in homes:
+        for number, rank, near in owners:
             # A copy more is a fetch more; it pays once not leaving the zone saves its routers as much.
             allowed = self.fetches.copies.allows(tracked.req.key, rank, near)
             if not allowed or (near and saves < self.guard.usual):
                 continue
-            floor = max(HOME_FLOOR, total * idf if near else 0.0) * 0.5 ** rank
+            floor = max(OWNER_FLOOR, total * idf if near else 0.0) * 0.5 ** rank
             floors.setdefault(number, (floor, int(near)))
         sampled = (self.rng.choice(self.ready).line.server for _ in range(SAMPLED if self.ready else 0))
         for number in (*counted, *sampled):
@@ -359,7 +360,7 @@
         limit = self._limit(now, tracked)
         for number, (floor, role) in floors.items():
             server = self.servers[number]
-            if server.trust.back_until > now or number in tracked.bad or number in tracked.missed or (
+            if server.outliers.ejected_until > now or number in tracked.bad or number in tracked.missed or (
                     server.since > 0 and not self._warm_enough(now, server, tracked)) or (
                     self.zones and not self.zones.is_open(now, server.line.zone, tracked.req.key)):
                 continue
@@ -367,7 +368,7 @@
             chance = count / (count + 1) if role < 0 else max(count / (count + 1), self.prior[role])
             chance += nudge * (1 - chance if nudge > 0 else chance)
             cost = tracked.cost + self._crossing(server, tracked.cls) + (1 - chance) * miss_cost
-            # Incident i952281: a crowded zone's homes drew all and refused it while other servers idled, so
+            # Incident i952281: a crowded zone's owners drew all and refused it while other servers idled, so
             # a server that would be late comes after every one that would not, be it by what it has from us:
             # its last answers tell only of what was sent before a crowd.
             lag = self._lag(now, server)
@@ -468,7 +469,7 @@
         if not self.set.second_copies or len(tracked.tries) > 1 or (
                 tracked.cls.effect == Effect.UNSAFE or tracked.req.single):
             return
-        due = now + self.seconds.sent(tracked.cls.aim, counted)
+        due = now + self.hedging.sent(tracked.cls.aim, counted)
         if due < tracked.deadline:
             heappush(self.slow, (due, tracked.req.id))
             self._look_again()
@@ -492,22 +493,22 @@
                 continue
             number, sent_at, *_ = next(filter(None, tracked.tries))
             first = self.servers[number]
-            if sent_at > first.trust.answered:  # nothing sent later was: it is not the connection alone
+            if sent_at > first.outliers.answered:  # nothing sent later was: it is not the connection alone
                 self.views.met(now, first.seen, max(self._lag(now, first), now - sent_at), False)
                 self._suspect(now, first, Result.TIMEOUT, sent_at)
-                if self.zones and first.trust.heard_at < sent_at:
+                if self.zones and first.outliers.heard_at < sent_at:
                     self.zones.owes(now, first.line.zone, number, sent_at)
             crowded = self.own.shed or self.views.mean_lag > 0.4 * tracked.cls.aim
-            tracked.looked = first.trust.heard_at > sent_at
+            tracked.looked = first.outliers.heard_at > sent_at
             over = (now - sent_at) / (self._cost(tracked, first) + self.guard.usual)
             draw = self.rng.random()
-            if crowded or not self.seconds.pays(sent_at, first.trust, tracked.chance, over, draw):
+            if crowded or not self.hedging.pays(sent_at, first.outliers, tracked.chance, over, draw):
                 continue
             tracked.bad.append(number)
             key = tracked.req.key
             server = self._choose(now, tracked, self._key(now, key) if key else None)
             if server is not None and self._send(now, tracked, server):
-                self.seconds.saved, tracked.looked = self.seconds.saved - 1, False
+                self.hedging.saved, tracked.looked = self.hedging.saved - 1, False
             else:
                 tracked.bad.remove(number)
         self._look_again()
@@ -521,12 +522,12 @@
 
     def _warm_enough(self, now: float, server: Server, tracked: Tracked) -> bool:
         """A cold server takes the share of keys that its ramp can bear; all balancers agree on which."""
-        share = ramp(now, server.since, self.set.cold_from, self.set.cold_time)
+        share = warm_share(now, server.since, self.set.cold_from, self.set.cold_time)
         if share >= 1:
             return True
         share *= MARGIN
         key = tracked.req.key or tracked.req.id
-        # Hashed once more: a key's homes are the servers with the greatest of its hashes, and of those none
+        # Hashed once more: a key's owners are the servers with the greatest of its hashes, and of those none
         # would be under a share.
         if mix(mix(key ^ server.salt) ^ server.salt) >= share * MASK:
             return False
@@ -534,9 +535,9 @@
         # could fall over.
         if now - self.warm_at > WARM_LIFE:
             self.warm_at, self.warm = now, sum(
-                self.speeds.of(s.line.kind) * ramp(now, s.since, self.set.cold_from, self.set.cold_time)
+                self._speed(s) * warm_share(now, s.since, self.set.cold_from, self.set.cold_time)
                 for s in self.ready)
-        rate = cold_rate(share * self.speeds.of(server.line.kind), self.pace.per_ms(now), self.warm, self.set)
+        rate = slow_start_rate(share * self._speed(server), self.pace.per_ms(now), self.warm, self.set)
         return server.budget.allows(now, rate, self.set.tip_after, self._heavy(tracked))
 
     def _heavy(self, tracked: Tracked) -> float:
@@ -562,14 +563,14 @@
         elif tracked.ran_at < 0:
             tracked.ran_at, tracked.ran_on, tracked.ran_by = sent_at, number, event.attempt
         self._learn(now, tracked, server, event, cost)
-        usual = self.guard.usual if server.trust.heard(now, sent_at, result) else math.inf
+        usual = self.guard.usual if server.outliers.heard(now, sent_at, result) else math.inf
         if self.zones:
             self.zones.ended(now, server.line.zone, number, result, sent_at)
-        if not self.seconds.lost(result, sent_at, server.trust):
-            learn_limits(server.limit, self.fetches, event, out, fetch, cost, tracked.cls.aim, usual)
+        if not self.hedging.lost(result, sent_at, server.outliers):
+            adjust_limits(server.limit, self.fetches, event, out, fetch, cost, tracked.cls.aim, usual)
         self.fetches.over(fetch)
         if tracked.looked:
-            self.seconds.ended(result, tracked.chance)
+            self.hedging.ended(result, tracked.chance)
         if event.ended or tracked.ended:
             self._close(now, tracked)
         elif tracked.out == 0:
@@ -588,17 +589,17 @@
         if at_origin and missed and result in (Result.OK, Result.ERROR, Result.TIMEOUT):
             self.guard.observe(now, result == Result.OK, max(0.0, lag), LATE_FETCH * tracked.cls.aim)
         if not at_origin and (
-                result == Result.OK or (result == Result.TIMEOUT and sent_at > server.trust.answered)):
-            counts = server is not self.origin and server.trust.heard_at >= sent_at
+                result == Result.OK or (result == Result.TIMEOUT and sent_at > server.outliers.answered)):
+            counts = server is not self.origin and server.outliers.heard_at >= sent_at
             self.views.met(now, server.seen, lag, counts)
         if result in (Result.CONNECT_FAILED, Result.RESET, Result.ERROR, Result.TIMEOUT):
             self._suspect(now, server, result, sent_at)
         elif result in (Result.OK, Result.MISS):
-            server.trust.well(sent_at)
+            server.outliers.well(sent_at)
         if server is self.origin:
             return self.guard.answered(now, result, event.elapsed)
         if result == Result.OK and (work := self.work.get(tracked.cls.name)):
-            # Homes are drawn anew when a kind's speed has changed.
+            # Rendezvous are drawn anew when a kind's speed has changed.
             self.list_count += event.note == Note.HIT and self.speeds.observe(
                 server.line.kind, event.elapsed / work.expected(tracked.req.cost))
             work.observe(tracked.req.cost, event.elapsed * self.speeds.of(server.line.kind))
@@ -615,13 +616,13 @@
 
     def _suspect(self, now: float, server: Server, result: Result, sent_at: float) -> None:
         if server is not self.origin:
-            server.trust.failed(now, sent_at, result == Result.CONNECT_FAILED, self.rng.uniform(0.7, 1.3))
+            server.outliers.failed(now, sent_at, result == Result.CONNECT_FAILED, self.rng.uniform(0.7, 1.3))
 
     def _go_on(self, now: float, tracked: Tracked, server: Server, result: Result) -> None:
         """Decide what follows an attempt that did not answer the client."""
         if result == Result.MISS:
             tracked.missed.append(server.line.server)
-        elif (result not in (Result.ERROR, Result.RESET) or server.trust.spoilt
+        elif (result not in (Result.ERROR, Result.RESET) or server.outliers.spoilt
                 or tracked.failed_on == server.line.server):
             tracked.bad.append(server.line.server)
         # One broken connection or spoilt answer is no reason to go where the key is not cached.
@@ -691,8 +692,8 @@
         waiting, entry.waiting = entry.waiting, []
         for other in waiting:
             if self.held.pop(other.req.id, None) is not None:
-                home = self.servers[other.missed[0]]
-                if not self._send(now, other, home):
+                owner = self.servers[other.missed[0]]
+                if not self._send(now, other, owner):
                     self._give_up(now, other)
 
     # answers
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -1,4 +1,4 @@
-"""Homes and hot keys: the same at all routers, as many as their load asks for, given back, few moved."""
+"""Rendezvous and hot keys: the same at all routers, as many as their load asks for, given back, few moved."""
 
 from __future__ import annotations
 
@@ -10,25 +10,25 @@
 from hypothesis import strategies as st
 
 from starlingthread import options
-from starlingthread.balance.homes import Homes, Place, mix
-from starlingthread.balance.hot import Crowd, Heat
+from starlingthread.balance.rendezvous import Rendezvous, Candidate, mix
+from starlingthread.balance.popularity import FleetDemand, Popularity
 from starlingthread.interface import Note, Outcome, Result, Retuned
 
 from .world import THROUGH, World, members, only_send
 
 
-def drawn(me: int = 0, servers: int = 60, usual: int = 3, gone: int = 0, shuffle: int = 0) -> Homes:
-    homes = Homes(me, usual)
-    places = [Place(mix(n + 1), 1.0, n) for n in range(1, servers + 1) if n != gone]
+def drawn(me: int = 0, servers: int = 60, usual: int = 3, gone: int = 0, shuffle: int = 0) -> Rendezvous:
+    owners = Rendezvous(me, usual)
+    places = [Candidate(mix(n + 1), 1.0, n) for n in range(1, servers + 1) if n != gone]
     Random(shuffle).shuffle(places)
-    homes.update(places, [])
-    return homes
+    owners.update(places, [])
+    return owners
 
 
-def heat_of(per_s: float, writes: float = 0.0, routers: int = 200, span: float = 60.0, heat: Heat | None = None,
-            begin: float = 0.0, seed: int = 1) -> tuple[Heat, int]:
-    """Let a router be asked for a key so often; return its heat, and how often its number of homes changed."""
-    rng, crowd, heat, now, changes = Random(seed), Crowd(), heat or Heat(), begin, 0
+def heat_of(per_s: float, writes: float = 0.0, routers: int = 200, span: float = 60.0, heat: Popularity | None = None,
+            begin: float = 0.0, seed: int = 1) -> tuple[Popularity, int]:
+    """Let a router be asked for a key so often; return its heat, and how often its number of owners changed."""
+    rng, crowd, heat, now, changes = Random(seed), FleetDemand(), heat or Popularity(), begin, 0
     crowd.know(routers, 60, 1)
     while (now := now + rng.expovariate(per_s / 1000.0)) < begin + span * 1000.0:
         changes += heat.asked(now, rng.random() < writes, crowd)
@@ -36,11 +36,11 @@
 
 
 @given(st.integers(1, 2**64 - 1), st.integers(0, 40), st.integers(0, 64))
-def test_equal_lists_give_equal_homes_whatever_their_order(key: int, me: int, copies: int) -> None:
+def test_equal_lists_give_equal_owners_whatever_their_order(key: int, me: int, copies: int) -> None:
     one, other = drawn(me).of(key, copies), drawn(me, shuffle=7).of(key, copies)
     assert one == other and len({h.number for h in one}) == 3
     if copies <= 3:
-        assert one == drawn(me + 1).of(key, copies)  # the usual homes are the same at every router
+        assert one == drawn(me + 1).of(key, copies)  # the usual owners are the same at every router
 
 
 @given(st.integers(1, 2**64 - 1), st.integers(0, 40), st.sampled_from((0, 8, 16, 32)), st.integers(1, 60))
@@ -48,42 +48,42 @@
     before, after = (h.of(key, copies) for h in (drawn(me), drawn(me, gone=gone)))
     kept = [h.number for h in before if h.number != gone]
     moved = set(kept) - {h.number for h in after}
-    # Of a hot key one home takes the place of the one that went, and may come before one of ours.
+    # Of a hot key one owner takes the place of the one that went, and may come before one of ours.
     assert len(moved) <= (1 if copies > 3 else 0)
 
 
-def test_a_hot_key_is_even_over_its_homes_and_fewer_homes_are_a_part_of_more() -> None:
+def test_a_hot_key_is_even_over_its_owners_and_fewer_owners_are_a_part_of_more() -> None:
     routers = [drawn(me) for me in range(200)]
     for key in (mix(k) for k in range(1, 6)):
         many, few = ({r.of(key, copies)[0].number for r in routers} for copies in (32, 8))
         assert len(many) >= 30 and few <= many and len(few) == 8
         assert max(Counter(r.of(key, 8)[0].number for r in routers).values()) < 2 * 200 / 8
-    fast = Homes(0, 3)
-    fast.update([Place(mix(n), 3.0 if n < 30 else 1.0, n) for n in range(60)], [])
+    fast = Rendezvous(0, 3)
+    fast.update([Candidate(mix(n), 3.0 if n < 30 else 1.0, n) for n in range(60)], [])
     assert 0.65 < sum(fast.of(mix(k))[0].number < 30 for k in range(400)) / 400 < 0.85
 
 
-def test_a_key_has_homes_by_its_load_and_none_more_for_being_asked_once() -> None:
+def test_a_key_has_owners_by_its_load_and_none_more_for_being_asked_once() -> None:
     assert heat_of(0.01)[0].copies == 0  # 2 a second over 200 routers: 20 in the time that a copy is kept
     warm, hot = heat_of(0.06, span=400.0)[0].copies, heat_of(1.5)[0].copies
     assert 8 <= warm < hot == 32  # the greatest power of two that 60 servers hold
     assert heat_of(1.5, routers=1)[0].copies <= 4  # the same at a router that is alone
 
 
-def test_a_key_that_is_written_has_as_many_homes_as_are_read_often_between_two_writes() -> None:
+def test_a_key_that_is_written_has_as_many_owners_as_are_read_often_between_two_writes() -> None:
     copies = [heat_of(1.5, writes=share, span=200.0)[0].copies for share in (0.0, 0.01, 0.06, 0.3)]
     assert copies[0] == 32 and 8 <= copies[1] <= 32 and copies[2] <= 4 and copies[3] == 0
     assert copies == sorted(copies, reverse=True)
 
 
-def test_homes_are_given_back_when_it_cools_and_do_not_swing_in_a_steady_load_or_a_beat_of_two_seconds() -> None:
+def test_owners_are_given_back_when_it_cools_and_do_not_swing_in_a_steady_load_or_a_beat_of_two_seconds() -> None:
     hot, changes = heat_of(1.5, span=120.0)
     assert changes <= 6  # up, one power of two at a time
     _, more = heat_of(1.5, span=300.0, heat=hot, begin=120e3, seed=2)
     assert more <= 4
     cool, _ = heat_of(0.005, span=1200.0, heat=hot, begin=420e3)
     assert cool.copies == 0
-    beat, changes = Heat(), 0
+    beat, changes = Popularity(), 0
     for second in range(0, 60, 4):
         beat, more = heat_of(20.0, span=2.0, heat=beat, begin=second * 1e3, seed=second + 1)
         changes += more
@@ -91,7 +91,7 @@
 
 
 def test_times_that_go_back_count_for_nothing() -> None:
-    heat, crowd = Heat(), Crowd()
+    heat, crowd = Popularity(), FleetDemand()
     crowd.know(200, 60, 3)
     for now in (1000.0, 0.0, -5.0, 2000.0):
         heat.asked(now, False, crowd)
@@ -113,7 +113,7 @@
     return used
 
 
-def test_routers_spread_a_hot_key_over_its_homes_and_each_stays_with_its_own() -> None:
+def test_routers_spread_a_hot_key_over_its_owners_and_each_stays_with_its_own() -> None:
     plain, spread = Counter[int](), Counter[int]()
     for me in range(30):
         plain += ask_often(me, balance=False)
--- a/tests/test_fetches.py
+++ b/tests/test_fetches.py
@@ -9,13 +9,13 @@
 
 from starlingthread.interface import Outcome, Result
 from starlingthread.limits.concurrency import FIRST, Concurrency
-from starlingthread.limits.fetches import Fetches
-from starlingthread.limits.learn import learn_limits
+from starlingthread.limits.origin_limit import OriginLimit
+from starlingthread.limits.feedback import adjust_limits
 
 from .world import KEYED, THROUGH, World, answers, members, only_send, sends
 
 
-def play(fetches: Fetches, begin: float, span: float, per_s: float, room: int) -> tuple[int, int, int]:
+def play(fetches: OriginLimit, begin: float, span: float, per_s: float, room: int) -> tuple[int, int, int]:
     """Want fetches at a steady rate of an origin that serves so many at once in 100 ms, and fails the others.
 
     Return how many were wanted, let through and served.
@@ -41,7 +41,7 @@
 
 
 def test_what_the_origin_can_serve_is_let_through_and_little_more_and_a_jam_that_ends_is_forgotten() -> None:
-    fetches = Fetches()
+    fetches = OriginLimit()
     wanted, let, _ = play(fetches, 0.0, 5000.0, 100.0, 1000)
     assert let == wanted and not fetches.limit.known  # nothing is limited until something bad was seen
     wanted, let, served = play(fetches, 5000.0, 10000.0, 200.0, 5)
@@ -51,7 +51,7 @@
 
 
 def test_a_dead_origin_is_asked_now_and_then_and_what_is_hardly_a_fetch_goes_on() -> None:
-    fetches = Fetches()
+    fetches = OriginLimit()
     wanted, let, _ = play(fetches, 0.0, 30000.0, 100.0, 0)
     assert 0 < let < 0.1 * wanted
     assert fetches.refused > 0.8 and fetches.copies.level > 1.0
@@ -90,11 +90,11 @@
 def test_servers_that_fail_at_once_or_say_nothing_tell_nothing_of_the_origin(
         result: Result, elapsed: float, usual: float) -> None:
     """Three bad servers of sixty, then a lost zone, made forty routers refuse three quarters of what was asked."""
-    fetches, server = Fetches(), Concurrency()
+    fetches, server = OriginLimit(), Concurrency()
     for _ in range(100):
-        learn_limits(server, fetches, Outcome(1, 0, 1, result, elapsed, False), 1, 1.0, 50.0, 1000.0, usual)
+        adjust_limits(server, fetches, Outcome(1, 0, 1, result, elapsed, False), 1, 1.0, 50.0, 1000.0, usual)
     assert not fetches.limit.known
-    learn_limits(server, fetches, Outcome(1, 0, 1, Result.ERROR, 200.0, False), 1, 1.0, 50.0, 1000.0, 80.0)
+    adjust_limits(server, fetches, Outcome(1, 0, 1, Result.ERROR, 200.0, False), 1, 1.0, 50.0, 1000.0, 80.0)
     assert fetches.limit.known
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -71,7 +71,7 @@
 
 
 def test_cold_servers_get_what_their_ramp_bears_from_all_routers_together() -> None:
-    """Their share of keys was drawn by the same hash as the homes, whose hashes are the greatest: none passed."""
+    """Their share of keys was drawn by the same hash as the owners, whose hashes are the greatest: none passed."""
     fleet = Fleet()
     fleet.play(5000.0)
     cold = [m.server for m in fleet.members[:SERVERS // 3]]
@@ -110,7 +110,7 @@
 
 
 def test_routers_agree_on_the_speed_of_kinds() -> None:
-    """Each that has figures of its own names homes of its own, and each such home is one more copy to fetch."""
+    """Each that has figures of its own names owners of its own, and each such owner is one more copy to fetch."""
     fleet = Fleet()
     fleet.play(15000.0)
     assert all(router.speeds.of(0) > 0.9 for router in fleet.routers)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -8,28 +8,28 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from starlingthread.limits.copies import DOWN, TIERS, UP, CopyLimit
-from starlingthread.limits.ramp import ColdBudget, Pace, first_saving, ramp
+from starlingthread.limits.replicas import DOWN, TIERS, UP, ReplicaLimit
+from starlingthread.limits.slow_start import SlowStartBudget, Pace, first_tokens, warm_share
 from starlingthread.limits.budgets import GROWTH, LEAST_CALLS, LEAST_LEFT, MB, OWN_SOCKETS, split_budgets
 from starlingthread.limits.speed import ENOUGH, Speeds
 
 KEYS = range(0, 1 << 16, 257)
-HOMES = [(rank, near) for near in (True, False) for rank in range(3)]
+OWNERS = [(rank, near) for near in (True, False) for rank in range(3)]
 
 
-def allowed(limit: CopyLimit, key: int) -> set[tuple[int, bool]]:
-    return {home for home in HOMES if limit.allows(key, *home)}
+def allowed(limit: ReplicaLimit, key: int) -> set[tuple[int, bool]]:
+    return {owner for owner in OWNERS if limit.allows(key, *owner)}
 
 
-def at_level(level: float) -> CopyLimit:
-    limit = CopyLimit()
+def at_level(level: float) -> ReplicaLimit:
+    limit = ReplicaLimit()
     limit.level = level
     return limit
 
 
-def test_copies_go_tier_by_tier_and_the_first_home_always_stays() -> None:
-    everything = set(HOMES)
-    fleet = {home for home in HOMES if not home[1]}
+def test_copies_go_tier_by_tier_and_the_first_owner_always_stays() -> None:
+    everything = set(OWNERS)
+    fleet = {owner for owner in OWNERS if not owner[1]}
     for key in KEYS:
         assert allowed(at_level(0.0), key) == everything
         assert allowed(at_level(1.0), key) in (fleet, everything)
@@ -49,7 +49,7 @@
 
 @given(st.lists(st.tuples(st.floats(0, 1e5), st.floats(0, 1))))
 def test_the_level_stays_in_its_bounds_and_always_recovers(steps: list[tuple[float, float]]) -> None:
-    limit, now = CopyLimit(), 0.0
+    limit, now = ReplicaLimit(), 0.0
     for passed, pressure in steps:
         now += passed
         limit.observe(now, pressure)
@@ -65,15 +65,15 @@
 
 
 def test_the_ramp_is_the_least_that_is_told() -> None:
-    assert ramp(5000.0, 0.0, 0.2, 1000.0) == 1.0  # started long ago
-    assert ramp(500.0, 1000.0, 0.2, 1000.0) == 0.2  # a clock that is behind
-    assert ramp(1500.0, 1000.0, 0.2, 1000.0) == pytest.approx(0.6)
-    assert ramp(2000.0, 1000.0, 0.2, 1000.0) == 1.0
+    assert warm_share(5000.0, 0.0, 0.2, 1000.0) == 1.0  # started long ago
+    assert warm_share(500.0, 1000.0, 0.2, 1000.0) == 0.2  # a clock that is behind
+    assert warm_share(1500.0, 1000.0, 0.2, 1000.0) == pytest.approx(0.6)
+    assert warm_share(2000.0, 1000.0, 0.2, 1000.0) == 1.0
 
 
 def test_one_router_alone_may_send_at_once_and_of_many_only_one() -> None:
-    assert first_saving(0.99, 1) == 1.0
-    savings = sorted(first_saving((n + 0.5) / 40, 40) for n in range(40))
+    assert first_tokens(0.99, 1) == 1.0
+    savings = sorted(first_tokens((n + 0.5) / 40, 40) for n in range(40))
     assert savings[-1] == 1.0 and savings[-2] < 1.0
     assert all(b - a < 0.05 for a, b in pairwise(savings))
 
@@ -81,7 +81,7 @@
 @given(st.lists(st.tuples(st.floats(0.0, 500.0), st.floats(0.5, 9.0)), max_size=80), st.floats(0.0, 0.01))
 def test_a_cold_budget_is_never_overspent_by_more_than_one_request(
         asked: list[tuple[float, float]], rate: float) -> None:
-    budget, now, spent, window = ColdBudget(0.5), 1000.0, 0.0, 2000.0
+    budget, now, spent, window = SlowStartBudget(0.5), 1000.0, 0.0, 2000.0
     began, dearest = now, 0.0
     for pause, cost in asked:
         now += pause
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -27,10 +27,10 @@
     tree = ast.parse(POLICY)
     imported = {n.module for n in ast.walk(tree) if isinstance(n, ast.ImportFrom)}
     imported |= {a.name for n in ast.walk(tree) if isinstance(n, ast.Import) for a in n.names}
-    limits = {"concurrency", "core", "fetches", "learn", "origin", "ramp", "reserve", "seconds", "speed",
-              "trust", "work"}
+    limits = {"concurrency", "feedback", "hedging", "origin_limit", "origin_throttle", "outliers", "reserve",
+              "service_time", "shedding", "slow_start", "speed"}
     assert imported <= {"__future__", "math", "random", "collections", "heapq", "typing", "interface", "failover.zones",
-                        *(f"balance.{name}" for name in ("homes", "hot", "key", "view")),
+                        *(f"balance.{name}" for name in ("key", "load", "popularity", "rendezvous")),
                         *(f"limits.{name}" for name in limits)}
     for node in tree.body:
         if isinstance(node, ast.Assign):
@@ -54,9 +54,9 @@
 
 def test_a_key_returns_to_the_server_that_counted_it() -> None:
     world = World()
-    homes = {key: world.read(key) for key in range(1, 30)}
-    assert {key: world.read(key) for key in homes} == homes
-    assert len(set(homes.values())) > 1
+    owners = {key: world.read(key) for key in range(1, 30)}
+    assert {key: world.read(key) for key in owners} == owners
+    assert len(set(owners.values())) > 1
 
 
 def test_the_readme_example_runs() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -107,17 +107,17 @@
 @pytest.mark.parametrize("state", [ServerState.DRAINING, ServerState.GONE])
 def test_drains_are_kept_at_once(state: ServerState) -> None:
     world = World()
-    home = world.read()
-    world.do(MemberList(ListKind.DELTA, 2, (Member(home, state=state),)))
+    owner = world.read()
+    world.do(MemberList(ListKind.DELTA, 2, (Member(owner, state=state),)))
     for _ in range(20):
-        assert world.read() != home
+        assert world.read() != owner
 
 
 def test_a_server_missing_from_a_whole_list_is_gone() -> None:
     world = World()
-    home = world.read()
-    world.do(MemberList(ListKind.FULL, 2, tuple(m for m in members() if m.server != home)))
-    assert world.read() != home
+    owner = world.read()
+    world.do(MemberList(ListKind.FULL, 2, tuple(m for m in members() if m.server != owner)))
+    assert world.read() != owner
 
 
 def test_waiters_share_one_fetch_and_then_ask_the_cache() -> None:
--- a/tests/test_testbed.py
+++ b/tests/test_testbed.py
@@ -200,7 +200,7 @@
         assert found is not None and found.idle_servers == 0 and found.busiest_10s < 1.15
 
 
-def test_homes_differ_where_two_routers_use_other_servers_for_a_key() -> None:
+def test_owners_differ_where_two_routers_use_other_servers_for_a_key() -> None:
     spec = msgspec.structs.replace(BASE, length_s=12.0)
     ledger = Ledger()
     for router, server in ((0, 1), (1, 1), (2, 5)):
@@ -208,7 +208,7 @@
             ledger.tries.append(Try(f"{router}-{n}", n, 0, 7, router, 5000.0, 1000.0))
             ledger.deliveries.append(Delivery(f"{router}-{n}", server, 5000.0, 5000.0))
     found = evenness.measure(spec, ledger)
-    assert found is not None and found.homes_differ == pytest.approx(2 / 3, abs=1e-3)
+    assert found is not None and found.owners_differ == pytest.approx(2 / 3, abs=1e-3)
 
 
 def test_hash_with_bounded_loads_keeps_its_bound_and_always_has_a_server() -> None:
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -45,20 +45,20 @@
     assert all(not answers(world.ask(5000 + key)) for key in range(50))
 
 
-def test_a_crowded_home_is_left_for_servers_that_would_be_in_time() -> None:
-    """Incident i952281: the homes of a crowded zone refused what idle servers could have answered."""
+def test_a_crowded_owner_is_left_for_servers_that_would_be_in_time() -> None:
+    """Incident i952281: the owners of a crowded zone refused what idle servers could have answered."""
     world = World(ASIDE, members(12))
-    home = [world.read(7) for _ in range(12)][-1]
+    owner = [world.read(7) for _ in range(12)][-1]
     for _ in range(5):  # the other servers are seen to be quick
         for key in range(100, 130):
             world.now += 10.0
             for send in sends(world.ask(key)):
                 world.end(send, Result.OK, elapsed=45.0)
     late = only_send(world.ask(7))
-    assert late.server == home
+    assert late.server == owner
     world.end(late, Result.OK, elapsed=900.0)
     for _ in range(10):
-        assert only_send(world.ask(7)).server not in (home, ORIGIN)
+        assert only_send(world.ask(7)).server not in (owner, ORIGIN)
 
 
 def test_a_refused_client_is_told_when_to_come_back() -> None:
@@ -72,24 +72,24 @@
     """Guards against spoilt answers that leave out half a fleet and scatter its keys."""
     for result, row in ((Result.ERROR, 3), (Result.RESET, 3), (Result.CONNECT_FAILED, 2)):
         world = World(THROUGH)
-        home = [world.read(7) for _ in range(12)][-1]
+        owner = [world.read(7) for _ in range(12)][-1]
         for failed in range(row + 1):
             world.now += 50.0
             send = only_send(world.ask(7))
-            assert (send.server == home) == (failed < row)
+            assert (send.server == owner) == (failed < row)
             world.now += 20.0
             world.end(send, result, elapsed=20.0)
 
 
 def test_what_was_out_when_a_server_failed_is_not_held_against_it_again() -> None:
     world = World(THROUGH)
-    home = [world.read(7) for _ in range(12)][-1]
-    out = [s for s in (only_send(world.ask(7)) for _ in range(5)) if s.server == home]
+    owner = [world.read(7) for _ in range(12)][-1]
+    out = [s for s in (only_send(world.ask(7)) for _ in range(5)) if s.server == owner]
     assert len(out) > 3
     for send in out:
         world.now += 1.0
         world.end(send, Result.RESET, elapsed=500.0)
-    assert world.balancer.servers[home].trust.fails <= 1
+    assert world.balancer.servers[owner].outliers.fails <= 1
 
 
 def test_a_timeout_is_no_queue_where_later_work_was_answered() -> None:
@@ -135,18 +135,18 @@
 
 
 def warmed_up(world: World) -> int:
-    """Let one key be read until its home is counted and second copies are saved up; return the home."""
+    """Let one key be read until its owner is counted and second copies are saved up; return the owner."""
     return [world.read(7) for _ in range(40)][-1]
 
 
 def test_what_stays_out_gets_one_second_copy_elsewhere_and_unsafe_work_none() -> None:
     """Guards against connections that fall silent: a time-out at the deadline would be too late."""
     world = World(COPIES)
-    home = warmed_up(world)
+    owner = warmed_up(world)
     first = only_send(world.ask(7))
-    assert first.server == home and not sends(world.pass_time(324.0))
+    assert first.server == owner and not sends(world.pass_time(324.0))
     second = only_send(world.pass_time(2.0))
-    assert second.server != home and not sends(world.pass_time(400.0))
+    assert second.server != owner and not sends(world.pass_time(400.0))
     world.end(second, Result.OK, attempt=1, elapsed=30.0)
     only_send(world.ask(7, UNSAFE))
     assert not sends(world.pass_time(900.0))
@@ -164,9 +164,9 @@
 def test_a_long_request_at_a_server_that_answers_others_gets_no_second_copy() -> None:
     """Where servers work on whatever became of a request, three copies in a hundred were a tenth of all work."""
     world = World(COPIES)
-    home = warmed_up(world)
+    owner = warmed_up(world)
     long, world.now = only_send(world.ask(7)), world.now + 100.0
-    assert world.read(7) == home and long.server == home
+    assert world.read(7) == owner and long.server == owner
     assert not sends(world.pass_time(800.0))
 
 
@@ -198,10 +198,10 @@
     """On churn+long of the second site a tenth of all got no answer for 15 s, and a fifth was refused for that."""
     world = World(COPIES)
     warmed_up(world)
-    seconds, fetches = world.balancer.seconds, world.balancer.fetches
-    seconds.dead, world.balancer.prior = dead, [0.0, 0.0]
+    hedging, fetches = world.balancer.hedging, world.balancer.fetches
+    hedging.dead, world.balancer.prior = dead, [0.0, 0.0]
     for key in range(100, 140):
-        seconds.saved = 0.0
+        hedging.saved = 0.0
         if not (sent := sends(world.ask(key))):
             break
         first = sent[0]
@@ -213,22 +213,22 @@
         world.end(first, Result.TIMEOUT, elapsed=990.0)
     assert fetches.limit.known == (dead == 0.0)
     for _ in range(20):
-        seconds.sent(500.0, True)
-    assert (seconds.saved >= 2.0) == (dead > 0)
-    trust = world.balancer.servers[first.server].trust
-    assert seconds.pays(trust.heard_at - 1.0, trust, 0.0, 3.0, 0.5) == (dead > 0)  # a fetch that is out for too long
-    assert not seconds.pays(trust.heard_at - 1.0, trust, 0.0, 1.0, 0.5)
+        hedging.sent(500.0, True)
+    assert (hedging.saved >= 2.0) == (dead > 0)
+    outliers = world.balancer.servers[first.server].outliers
+    assert hedging.pays(outliers.heard_at - 1.0, outliers, 0.0, 3.0, 0.5) == (dead > 0)  # a fetch out too long
+    assert not hedging.pays(outliers.heard_at - 1.0, outliers, 0.0, 1.0, 0.5)
 
 
-def test_a_key_gets_a_home_in_the_zone_once_leaving_it_has_cost_as_much_as_a_fetch() -> None:
+def test_a_key_gets_a_owner_in_the_zone_once_leaving_it_has_cost_as_much_as_a_fetch() -> None:
     def near(price: float, routers: int = 4) -> int:
         world = World(THROUGH._replace(price_cross_zone=price, balancers=routers), members(8, zones=2))
-        homes = [world.read(key) for key in range(1, 200)]
-        return sum(home % 2 == 0 for home in homes)
+        owners = [world.read(key) for key in range(1, 200)]
+        return sum(owner % 2 == 0 for owner in owners)
 
     # A fetch takes 75 ms as far as is known, the aim is 500 ms, and half of the servers are in our zone.
     assert near(0.2) > 150 > near(0.02) > 60
-    assert near(0.02, routers=40) > 150  # that many share the home, and each sees little of what it saves
+    assert near(0.02, routers=40) > 150  # that many share the owner, and each sees little of what it saves
 
 
 def test_second_copies_are_few_and_none_where_all_are_slow() -> None:
@@ -247,15 +247,16 @@
 def test_a_server_that_answers_nothing_is_found_out_before_the_deadline() -> None:
     """Guards against machines that vanish and say nothing, not even that they are gone."""
     world = World(COPIES)
-    home = warmed_up(world)
+    owner = warmed_up(world)
     for _ in range(30):
         for send in sends(world.ask(7)):
-            if send.server != home:
+            if send.server != owner:
                 world.end(send, Result.OK)
         for send in sends(world.pass_time(100.0)):
-            if send.server != home:
+            if send.server != owner:
                 world.end(send, Result.OK, attempt=1)
-    assert world.balancer.servers[home].trust.fails >= 3 and world.balancer.servers[home].trust.back_until > 2200.0
+    outliers = world.balancer.servers[owner].outliers
+    assert outliers.fails >= 3 and outliers.ejected_until > 2200.0
 
 
 def test_what_our_own_core_is_too_small_for_is_refused_worth_least_first_and_only_then() -> None:
@@ -313,11 +314,11 @@
 
 def test_a_broken_answer_is_asked_for_again_where_it_may_have_been_made_and_then_elsewhere() -> None:
     world = World(THROUGH)
-    home = warmed_up(world)
+    owner = warmed_up(world)
     first = only_send(world.ask(7))
     second = only_send(world.end(first, Result.RESET))
     third = only_send(world.end(second, Result.RESET, attempt=1))
-    assert first.server == second.server == home != third.server
+    assert first.server == second.server == owner != third.server
 
 
 def test_what_never_ran_clears_no_other_attempt_at_the_same_server_and_time() -> None:
@@ -329,7 +330,7 @@
     assert second.server == first.server
     world.balancer.servers[first.server].unavailable = True
     for server in world.balancer.servers.values():
-        server.trust.back_until = world.now + 9000.0
+        server.outliers.ejected_until = world.now + 9000.0
     done = world.end(second, Result.CONNECT_FAILED, attempt=1, elapsed=0.0)
     assert [type(a) for a in answers(done)] == [Fail]
 
@@ -343,15 +344,15 @@
     assert world.balancer.keys[9].counts[first.server][0] < 0.1 and min(world.balancer.prior) < 0.1
 
 
-def test_a_home_that_has_too_much_from_us_already_is_left_before_any_answer_is_late() -> None:
-    """Guards zones that are a server short: the two homes left drew 80 requests a second each, the others 20."""
+def test_a_owner_that_has_too_much_from_us_already_is_left_before_any_answer_is_late() -> None:
+    """Guards zones that are a server short: the two owners left drew 80 requests a second each, the others 20."""
     world = World(THROUGH)
     for key in range(1, 30):
         world.read(key)
-    home = world.read(7)
+    owner = world.read(7)
     went: dict[int, int] = {}
     for _ in range(80):  # a crowd for one key, of which nothing is answered yet
         for send in sends(world.ask(7, cost=40.0)):
             went[send.server] = went.get(send.server, 0) + 1
     # 500 ms of aim, two at a time, 30 ms each as it was learned: more than that would be late at one server.
-    assert went[home] <= 500 / 30 * 2 + 1 and len(went) > 2
+    assert went[owner] <= 500 / 30 * 2 + 1 and len(went) > 2
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -8,14 +8,14 @@
 import pytest
 
 from starlingthread.interface import Request
-from starlingthread.limits.work import Work
+from starlingthread.limits.service_time import ServiceTime
 
 from .world import READ, THROUGH, World, only_send
 
 
-def learned(scale: float, noise: float, answers: int = 2000) -> Work:
+def learned(scale: float, noise: float, answers: int = 2000) -> ServiceTime:
     """Return what is learned from answers of 40 to 160 ms whose hints are off by a factor, and by chance."""
-    rng, work = Random(5), Work(500.0)
+    rng, work = Random(5), ServiceTime(500.0)
     for _ in range(answers):
         time = 80.0 * 2 ** rng.uniform(-1, 1)
         work.observe(time * scale * math.exp(rng.gauss(0, noise)), time)
