Split the decision module into parts that each own one thing

policy.py was one class of over 600 lines. What decides, the pauses between calls for the list too, stayed in the parts. The emulator's other policies take the place of the choice or the load estimate now, as parts.

--- a/starlingthread/__main__.py
+++ b/starlingthread/__main__.py
@@ -294,7 +294,7 @@
                 unused.close()
         self.handover.serving()
         self.serving = True
-        log.info("started", name=self.config.name, servers=len(self.router.module.servers))
+        log.info("started", name=self.config.name, servers=len(self.router.module.fleet.servers))
         # What lives as long as the program is never looked at again; the young are collected in small bites,
         # and all of it at times of our own: connections leave cycles behind, which would pile up all day.
         gc.collect()
--- a/starlingthread/balance/popularity.py
+++ b/starlingthread/balance/popularity.py
@@ -13,7 +13,7 @@
 
 SHORT, LONG = 5000.0, 60000.0  # ms; half-lives of the two memories
 LIVES = (SHORT / math.log(2), LONG / math.log(2))
-KEPT = 10000.0  # ms; about as long as a cache keeps what nobody asks for (policy.HALF_LIFE)
+KEPT = 10000.0  # ms; about as long as a cache keeps what nobody asks for (HALF_LIFE in policy/load.py)
 ASKED = 4.0  # times that all routers together must ask an owner for the key before it loses it, to be worth its fetch
 DOWN = 0.5  # of what the number of owners asks for: below it they are given back, so that they do not swing
 PRIOR = 10.0  # reads of a key that weigh as much as what is known of all keys, in its share of writes
--- a/starlingthread/emulator/truth.py
+++ b/starlingthread/emulator/truth.py
@@ -1,4 +1,4 @@
-"""The servers' true load, in a file shared with a router that is to see it: a yardstick, no part of the platform."""
+"""The servers' true load, in a file shared with a router that is to see it: a baseline, no part of the platform."""
 
 from __future__ import annotations
 
--- a/starlingthread/net/failover.py
+++ b/starlingthread/net/failover.py
@@ -54,9 +54,9 @@
             log.warning("failover-alone", why="messages between routers are not allowed, or there are no others")
         if self.zones is None:
             self.zones = Zones(self.me, self.members.alive())
-            self.zones.listed((s.line.zone, s.line.server) for s in self.router.module.ready)
+            self.zones.listed((s.line.zone, s.line.server) for s in self.router.module.fleet.ready)
             self.members.on_change = self._know
-            self.router.module.zones = self.zones
+            self.router.module.fleet.zones = self.zones
             self._set()
         self.zones.know(self.members.alive())
         self.zones.topology, self.zones.far = topology, own.far_ms
@@ -70,7 +70,7 @@
         """Say and hear no more; the module goes on without."""
         self.router.deadlines.clear(self._due)
         self.peers.takers.pop(VERSION, None)
-        self.zones, self.router.module.zones, self._due = None, None, None
+        self.zones, self.router.module.fleet.zones, self._due = None, None, None
 
     def figures(self) -> dict[str, object]:
         """Return what operators read; nothing while it is off."""
