Split cache servers' connections into pool, opening, reader and actor; tests by part

net/servers.py was 717 lines of several concerns. net/upstreams/ has a pool, which alone lends, takes back (keep) and closes (discard) connections, connections that are being opened, a reader, the actor that carries attempts out, and the fleet of actors. Lines were moved, not changed, but for names. Tests of one part stand in the file of that part: test_net.py and test_waiting.py are ten files with one of stand-ins, test_fetches, test_origin and test_work are named after their parts; set-up that was copied in test_discovery, test_crossings and test_bad_peers is merged (the bystander checks memory at each look now, not at the end alone).

--- a/starlingthread/__main__.py
+++ b/starlingthread/__main__.py
@@ -30,7 +30,7 @@
 from .net.members import MemberActor
 from .net.peers import PeerActor
 from .net.registry import ListError, ListReader, RegistryActor
-from .net.servers import ServerFleet
+from .net.upstreams import ServerFleet
 
 STILL_ACCEPTING = 0.5  # s after SIGTERM in which new connections are still welcome
 LOOK_EVERY = 100.0  # ms between looks at what another process excludes: well within a grace
@@ -181,7 +181,7 @@
     def summary(self) -> None:
         """Log the counters, and what is out right now."""
         now = {"clients.open": len(self.front.actors), "requests.open": len(self.router.requests),
-               "connections.open": sum(a.open for a in self.fleet.actors.values())}
+               "connections.open": sum(a.pool.open for a in self.fleet.actors.values())}
         log.info("counters", **dict(sorted(self.counters.items())), **now)
 
     def reload(self) -> None:
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -204,6 +204,13 @@
         name = client.socket.getsockname()
         return next((a for a in self.program.front.actors if a.writer.get_extra_info("peername") == name), None)
 
+    def reload(self, classes: list[dict[str, Any]]) -> None:
+        """Have the program read its file anew with other classes."""
+        self.raw["settings"]["grades"] = classes
+        self.path.write_text(json.dumps(self.raw))
+        self.program.config = self.program.config._replace(shape={})  # else a file with fewer would not be taken
+        self.program.reload()
+
     def close(self) -> None:
         """Close all peers."""
         for peer in self.clients:
--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,158 @@
+"""Stand-ins for sockets, clients and cache servers, hand-fed: no socket, no waiting."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Callable
+from typing import Any
+
+from starlingthread.core.actors import Watcher
+from starlingthread.core.router import Attempt, Taken
+from starlingthread.net import meta
+from starlingthread.net.clients import ClientActor, Front
+from starlingthread.net.upstreams import ServerFleet, messages
+from starlingthread.net.upstreams.actor import ServerActor
+from starlingthread.net.upstreams.connection import Connection
+
+from .test_router import Place
+from .world import THROUGH
+
+
+class Transport:
+    """Stands for a socket; notes what is done to it."""
+
+    def __init__(self) -> None:
+        self.sent = bytearray()
+        self.gone = self.paused = False
+        self.unsent = 0
+
+    def is_closing(self) -> bool:
+        return self.gone
+
+    def get_write_buffer_size(self) -> int:
+        return self.unsent
+
+    def abort(self) -> None:
+        self.gone = True
+
+    def get_protocol(self) -> None:
+        return None
+
+    def is_reading(self) -> bool:
+        return not self.gone and not self.paused
+
+    def pause_reading(self) -> None:
+        self.paused = True
+
+    def resume_reading(self) -> None:
+        self.paused = False
+
+
+class Writer:
+    """Stands for a StreamWriter."""
+
+    def __init__(self) -> None:
+        self.transport = Transport()
+        self.mine, self.other = socket.socketpair()  # bytes that lie in the system, unread by the program
+        self.on_eof: Callable[[], None] = lambda: None  # what the other side does about our end of file
+
+    def get_extra_info(self, name: str) -> socket.socket:
+        return self.mine
+
+    def writelines(self, parts: tuple[bytes, ...]) -> None:
+        assert not self.transport.gone
+        self.transport.sent += b"".join(parts)
+
+    async def drain(self) -> None:
+        while self.transport.unsent and not self.transport.gone:
+            await asyncio.sleep(0)
+
+    def write_eof(self) -> None:
+        self.on_eof()
+
+    def close(self) -> None:
+        self.transport.gone = True
+        self.mine.close()
+        self.other.close()
+
+
+class Talk:
+    """A client's connection to a front whose router is never run: tests answer."""
+
+    def __init__(self) -> None:
+        place = Place()
+        self.router, self.watcher = place.router, Watcher()
+        self.front = Front(THROUGH, self.router, self.watcher, 10, 8, 1 << 20, lambda: place.router.listed)
+        self.reader, self.writer = asyncio.StreamReader(), Writer()
+        self.writer.on_eof = self.reader.feed_eof  # it closes in turn
+        self.actor = ClientActor(self.front, self.reader, self.writer)  # type: ignore[arg-type]
+        self.front.actors.add(self.actor)
+        self.watcher.start(self.actor.run(), "client", lambda _: None)
+
+    async def settle(self) -> list[Any]:
+        for _ in range(12):
+            await asyncio.sleep(0)
+        return list(self.router.mailbox.take())
+
+
+def talk(script: Callable[[Talk], Any]) -> bytes:
+    """Run a script against a client actor; return what the client was sent."""
+    async def play() -> bytes:
+        now = Talk()
+        await script(now)
+        await now.settle()
+        await now.watcher.stop()
+        assert now.front.held == 0
+        return bytes(now.writer.transport.sent)
+
+    return asyncio.run(play())
+
+
+READS = b"mg a v O1 Pc=read,d=500\r\nmg b v O2 Pc=read,d=500\r\nmn\r\n"
+
+
+class Held:
+    """A server actor with one connection in its pool, driven message by message."""
+
+    def __init__(self) -> None:
+        with contextlib.suppress(RuntimeError):  # streams want a loop, though none is run here
+            asyncio.set_event_loop(asyncio.new_event_loop())
+        self.place = Place()
+        self.fleet = ServerFleet(THROUGH, self.place.router, Watcher(), 10, 15000.0)
+        self.actor = ServerActor(self.fleet, 1, ("127.0.0.1", 1))
+        self.reader, self.writer = asyncio.StreamReader(), Writer()
+        self.connection = Connection(
+            self.reader, self.writer, self.actor.pool.address)  # type: ignore[arg-type]
+        self.connection.idle_since = self.place.clock.now()
+        self.actor.pool.idle.append(self.connection)
+        self.actor.pool.open = 1
+
+    def attempt(self, text: bytes = b"mg a v O1 Pc=read,d=500\r\n") -> Attempt:
+        (command,) = meta.CommandParser().feed(text)
+        assert isinstance(command, meta.Command)
+        now = self.place.clock.now()
+        request = Taken(self.place, THROUGH.classes[0], 7, now + 500.0, command, now, is_write=command.is_write)
+        return Attempt(request, 0, 1, now, now + 400.0)
+
+    def take(self, message: messages.Message) -> list[Any]:
+        self.actor._take_in(message)
+        return list(self.place.router.mailbox.take())
+
+    def hear(self, data: bytes) -> list[Any]:
+        """Have the connection's reader take in some bytes, and the actor what it makes of them."""
+        if not self.actor.reader.heard(self.connection, data):
+            self.actor.tell(messages.Broken(self.connection))
+        for message in self.actor.mailbox.take():
+            self.actor._take_in(message)
+        return list(self.place.router.mailbox.take())
+
+
+ANSWER = b"VA 1 O1 h1\r\nx\r\n"
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
--- a/tests/test_bad_peers.py
+++ b/tests/test_bad_peers.py
@@ -7,7 +7,7 @@
 import json
 import os
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
 
@@ -54,6 +54,21 @@
                 await asyncio.sleep(0)
 
 
+@asynccontextmanager
+async def bystander(now: Guarded) -> AsyncIterator[Callable[[], Awaitable[None]]]:
+    """A good client, to be seen to now and then; meanwhile the process must not grow."""
+    good, before = await now.say(b"mn\r\n"), now.memory()
+
+    async def served() -> None:
+        await good.send(b"mn\r\n")
+        assert await good.until(b"\r\n") == b"MN\r\n"
+        assert now.memory() - before < GROWTH
+
+    yield served
+    assert now.memory() - before < GROWTH
+    good.close()
+
+
 @asynccontextmanager
 async def guarded(folder: Path) -> AsyncIterator[Guarded]:
     """Run it; its log must hold no exception, and it must end well."""
@@ -122,9 +137,7 @@
 @pytest.mark.parametrize("flood", FLOODS)
 def test_floods_from_clients_that_go_at_once_harm_nobody_else(tmp_path: Path, flood: str) -> None:
     async def play() -> str:
-        async with guarded(tmp_path) as now:
-            good = await now.say(b"mn\r\n")
-            before = now.memory()
+        async with guarded(tmp_path) as now, bystander(now) as served:
             text = FLOODS[flood]
             for turn in range(150):
                 peer = await connect(now.listen)
@@ -132,10 +145,7 @@
                     await peer.send(text.replace(b"%d", b"%d" % turn))
                 peer.reset() if turn % 2 else peer.close()
                 if turn % 10 == 0:
-                    await good.send(b"mn\r\n")
-                    assert await good.until(b"\r\n") == b"MN\r\n"
-            assert now.memory() - before < GROWTH
-            good.close()
+                    await served()
         return now.log
 
     log = asyncio.run(play())
@@ -151,10 +161,7 @@
 @pytest.mark.parametrize("answer", ENDLESS)
 def test_answers_without_end_cost_their_own_request_alone(tmp_path: Path, answer: str) -> None:
     async def play() -> None:
-        async with guarded(tmp_path) as now:
-            good = await now.say(b"mn\r\n")
-            before = now.memory()
-
+        async with guarded(tmp_path) as now, bystander(now) as served:
             async def pour(peer: Peer) -> None:
                 with contextlib.suppress(OSError, AssertionError):
                     line = await peer.until(b"\r\n")
@@ -174,12 +181,9 @@
                 with contextlib.suppress(OSError, AssertionError):  # a value that breaks off goes with its connection
                     assert (await asking.until(b"\r\n")).split()[0] in (b"SERVER_ERROR", b"VA")
                 asking.close()
-                await good.send(b"mn\r\n")
-                assert await good.until(b"\r\n") == b"MN\r\n"
-            assert now.memory() - before < GROWTH
+                await served()
             for task in (*serving, *pours):
                 task.cancel()
             await asyncio.gather(*serving, *pours, return_exceptions=True)
-            good.close()
 
     asyncio.run(play())
--- /dev/null
+++ b/tests/test_clients.py
@@ -0,0 +1,211 @@
+"""Clients' connections, with hand-fed streams: no socket, no waiting."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from starlingthread.core.router import Asked, Failed, Gone, Refused, Served
+from starlingthread.net import meta
+from starlingthread.net.clients import ClientActor, key_number
+
+from .standins import READS, Talk, Writer, talk
+
+
+def test_answers_come_in_the_order_of_the_commands() -> None:
+    async def script(now: Talk) -> None:
+        now.reader.feed_data(READS)
+        first, second = (m.request for m in await now.settle())
+        now.actor.answer(second, Refused(250.0))
+        await now.settle()
+        assert not now.writer.transport.sent
+        value = meta.ServerAnswer(meta.Kind.VALUE, b"1", (b"VA 1 O1\r\n", b"x\r\n"))
+        now.actor.answer(first, Served(value))
+        now.actor.answer(first, Failed())  # a second answer is not sent
+
+    assert talk(script) == b"VA 1 O1\r\nx\r\nSERVER_ERROR busy 250\r\nMN\r\n"
+
+
+def test_a_client_that_leaves_withdraws_what_is_out() -> None:
+    async def script(now: Talk) -> None:
+        now.reader.feed_data(READS)
+        asked = await now.settle()
+        now.reader.feed_eof()
+        gone = await now.settle()
+        assert [m.request for m in gone] == [m.request for m in asked]
+        assert all(isinstance(m, Gone) for m in gone) and now.writer.transport.gone
+
+    talk(script)
+
+
+def test_lost_framing_is_answered_and_the_connection_closed() -> None:
+    async def script(now: Talk) -> None:
+        now.reader.feed_data(b"mg a v O1 Pc=what,d=5\r\nms k nine O1\r\nmn\r\n")
+        await now.settle()
+        assert now.writer.transport.gone
+
+    assert talk(script) == b"CLIENT_ERROR unknown class\r\nCLIENT_ERROR bad data length\r\n"
+
+
+def test_a_client_that_sends_on_and_on_is_not_read_past_its_share() -> None:
+    async def script(now: Talk) -> None:
+        now.reader.feed_data(b"".join(b"mg a v O%d Pc=read,d=500\r\n" % n for n in range(40)))
+        assert len(await now.settle()) == 16
+        while now.actor.by_request:
+            now.actor.answer(next(iter(now.actor.by_request)), Failed())
+            await now.settle()
+
+    assert talk(script) == b"SERVER_ERROR failed\r\n" * 40
+
+
+def test_closing_waits_for_what_is_owed() -> None:
+    async def script(now: Talk) -> None:
+        now.reader.feed_data(READS[:25])
+        (message,) = await now.settle()
+        now.actor.shut_when_idle()
+        await now.settle()
+        assert isinstance(message, Asked) and not now.writer.transport.gone
+        now.actor.answer(message.request, Failed())
+        await now.settle()
+        assert now.writer.transport.gone
+
+    assert talk(script) == b"SERVER_ERROR failed\r\n"
+
+
+def test_a_client_that_reads_nothing_is_cut_off() -> None:
+    async def script(now: Talk) -> None:
+        now.writer.transport.unsent = 1 << 20
+        now.reader.feed_data(b"mn\r\n")
+        await now.settle()
+        now.front.deadlines.sweep(now.front.clock.now() + 9000.0)
+        await now.settle()
+        assert not now.writer.transport.gone
+        now.front.deadlines.sweep(now.front.clock.now() + 10000.0)
+        assert now.writer.transport.gone and now.front.counters["clients.cut_off"] == 1
+
+    talk(script)
+
+
+@pytest.mark.parametrize(("sent", "after", "answer"), [
+    (b"", 2000.0, b""), (b"mg a v O1", 2200.0, b"CLIENT_ERROR command not finished\r\n"),
+    (b"ms a 9 O1 Pc=read,d=5\r\nabc", 2200.0, b"CLIENT_ERROR command not finished\r\n"),
+    (b"mn\r\n", 8000.0, b"MN\r\n")])
+def test_a_connection_that_asks_for_nothing_is_closed(sent: bytes, after: float, answer: bytes) -> None:
+    """Guards descriptors and memory against clients that hold their connection and say nothing, or half."""
+    async def script(now: Talk) -> None:
+        now.reader.feed_data(sent)
+        await now.settle()
+        now.router.clock.time += after - 1.0  # type: ignore[attr-defined]
+        now.actor.look(now.front.clock.now(), crowded=False)
+        await now.settle()
+        assert not now.writer.transport.gone
+        now.router.clock.time += 1.0  # type: ignore[attr-defined]
+        now.actor.look(now.front.clock.now(), crowded=False)
+        await now.settle()
+        assert now.writer.transport.gone
+
+    assert talk(script) == answer
+
+
+def test_when_descriptors_are_out_those_who_said_nothing_go_first() -> None:
+    async def script(now: Talk) -> None:
+        def join(sent: bytes) -> ClientActor:
+            reader = asyncio.StreamReader()
+            now.front._accept(reader, Writer())  # type: ignore[arg-type]
+            reader.feed_data(sent)
+            return next(a for a in now.front.actors if a.reader is reader)
+
+        now.front.most = 4
+        now.reader.feed_data(READS[:25])
+        half, mute, idle = join(b"mg "), join(b""), join(b"mn\r\n")
+        await now.settle()
+        now.router.clock.time += 200.0  # type: ignore[attr-defined]
+        fresh = [join(READS[25:50]), join(b"mg c v O3 Pc=read,d=5\r\n")]
+        await now.settle()
+        assert mute not in now.front.actors and half not in now.front.actors
+        assert {now.actor, idle, *fresh} == now.front.actors
+        told = half.writer.transport.sent  # type: ignore[attr-defined]
+        assert bytes(told) == b"CLIENT_ERROR command not finished\r\n"
+        fresh.append(join(b"mg d v O4 Pc=read,d=5\r\n"))
+        await now.settle()
+        assert {now.actor, *fresh} == now.front.actors
+        now.front._accept(asyncio.StreamReader(), (last := Writer()))  # type: ignore[arg-type]
+        assert last.transport.gone and now.front.counters["clients.turned_away"] == 1
+
+    talk(script)
+
+
+def test_clients_that_keep_connections_for_good_leave_some_for_those_who_ask() -> None:
+    """Guards against clients that find no connection left, of which a router hears nothing."""
+    async def script(now: Talk) -> None:
+        now.front.comfortable = 2
+        now.reader.feed_data(READS[:25])
+        readers = [asyncio.StreamReader() for _ in range(3)]
+        for reader in readers:
+            now.front._accept(reader, Writer())  # type: ignore[arg-type]
+            reader.feed_data(b"mn\r\n")
+            await now.settle()
+            now.router.clock.time += 10.0  # type: ignore[attr-defined]
+        now.front._look()
+        await now.settle()
+        assert len(now.front.actors) == 4
+        now.router.clock.time += 85.0  # type: ignore[attr-defined]
+        now.front._look()  # two have been idle for long enough, and there are two too many
+        await now.settle()
+        assert {a.reader for a in now.front.actors} == {now.reader, readers[2]}
+
+    talk(script)
+
+
+def test_a_connection_is_not_closed_while_bytes_lie_unread_in_its_socket() -> None:
+    async def script(now: Talk) -> None:
+        now.writer.other.send(b"mg a v O1 Pc=read,d=500")  # the system has them, the reader has not
+        now.actor.shut_when_idle()
+        await now.settle()
+        assert not now.writer.transport.gone
+        now.writer.mine.recv(100)
+        now.actor.mailbox.wake()
+        await now.settle()
+        assert now.writer.transport.gone
+
+    assert talk(script) == b""
+
+
+def test_a_request_that_crosses_our_close_is_answered_if_it_was_taken_off_the_socket() -> None:
+    """Guards against a loss: nobody else can read that request any more, and its client would see a close."""
+    async def script(now: Talk) -> None:
+        await now.settle()
+        now.actor.shut_when_idle()  # the actor's turn to close comes before the reader's
+        now.reader.feed_data(READS[:25])
+        (asked,) = await now.settle()
+        assert not now.writer.transport.gone and not now.writer.transport.paused
+        now.actor.answer(asked.request, Failed())
+
+    assert talk(script) == b"SERVER_ERROR failed\r\n"
+
+
+def test_an_id_that_is_open_is_an_error_and_free_again_after_its_answer() -> None:
+    async def script(now: Talk) -> None:
+        now.reader.feed_data(READS[:25] * 2)
+        (first,) = await now.settle()
+        now.actor.answer(first.request, Failed())
+        await now.settle()
+        now.reader.feed_data(READS[:25])
+        assert len(await now.settle()) == 1
+
+    assert talk(script) == b"SERVER_ERROR failed\r\nCLIENT_ERROR id in use\r\n"
+
+
+def test_who_sends_nothing_but_nonsense_is_not_listened_to_for_ever() -> None:
+    async def script(now: Talk) -> None:
+        now.reader.feed_data(b"what\r\n" * 100)
+        await now.settle()
+        assert now.writer.transport.gone
+
+    assert talk(script) == b"ERROR\r\n" * 8
+
+
+def test_a_key_is_the_same_number_everywhere() -> None:
+    assert key_number(b"7f3a9c21e0b4d655") == 0xd54b9bf28703f94e
+    assert key_number(b"a") == key_number(b"a") != key_number(b"b")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -19,7 +19,8 @@
 from starlingthread import __main__ as program
 from starlingthread.core.router import Ended
 from starlingthread.interface import Result
-from starlingthread.net import clients, servers
+from starlingthread.net import clients
+from starlingthread.net.upstreams import messages
 from starlingthread.net.clients import MAX_PIPELINED
 
 from .peers import CLASSES, LIMIT, Peer, Stand, free_port, stand, step, until
@@ -131,9 +132,9 @@
     """Have a client ask; return its end, and that of whichever cache server was asked."""
     client = await now.client()
     await client.send(read(1))
-    await until(lambda: any(actor.busy for actor in now.program.fleet.actors.values()))
-    actor = next(actor for actor in now.program.fleet.actors.values() if actor.busy)
-    (listener,) = (s for s in now.servers if s.port == actor.address[1])
+    await until(lambda: any(actor.pool.busy for actor in now.program.fleet.actors.values()))
+    actor = next(actor for actor in now.program.fleet.actors.values() if actor.pool.busy)
+    (listener,) = (s for s in now.servers if s.port == actor.pool.address[1])
     server = await listener.accept()
     await server.until(b"\r\n")
     return client, server
@@ -142,14 +143,14 @@
 def test_nothing_is_written_on_a_connection_that_comes_up_after_the_client_left(tmp_path: Path) -> None:
     async def play() -> None:
         async with stand(tmp_path) as now:
-            held: list[servers.Opened] = []
+            held: list[messages.Opened] = []
             (server,) = now.program.fleet.actors.values()
-            tell = server._tell
+            tell = server.tell
 
             def hold(message: Any) -> None:
-                held.append(message) if isinstance(message, servers.Opened) else tell(message)
+                held.append(message) if isinstance(message, messages.Opened) else tell(message)
 
-            server._tell = hold  # type: ignore[method-assign]
+            server.opening.tell = hold
             client = await now.client()
             await client.send(read(1))
             await until(lambda: bool(held))
@@ -192,7 +193,7 @@
             assert socket_of_ours.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
             await asked(now)
             (actor,) = now.program.fleet.actors.values()
-            (connection,) = actor.busy.values()
+            (connection,) = actor.pool.busy.values()
             to_server = connection.writer.get_extra_info("socket")
             assert to_server.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
 
@@ -386,13 +387,13 @@
             first = await now.server.accept()
             await first.until(b"x\r\n")
             (actor,) = now.program.fleet.actors.values()
-            held: list[servers.Opened] = []
-            tell = actor._tell
+            held: list[messages.Opened] = []
+            tell = actor.tell
 
             def hold(message: Any) -> None:
-                held.append(message) if isinstance(message, servers.Opened) else tell(message)
+                held.append(message) if isinstance(message, messages.Opened) else tell(message)
 
-            actor._tell = hold  # type: ignore[method-assign]
+            actor.opening.tell = hold
             first.reset()  # it may have run
             await until(lambda: bool(held))
             assert now.counters["attempts.started"] == 2
@@ -419,10 +420,7 @@
             await client.send(b"ms k 100000 O1 Pc=keyed,d=5000\r\n")
             actor = now.actor_of(client)
             await until(lambda: actor.unasked is not None)
-            now.raw["settings"]["grades"] = CLASSES[:1]
-            now.path.write_text(json.dumps(now.raw))
-            now.program.config = now.program.config._replace(shape={})
-            now.program.reload()
+            now.reload(CLASSES[:1])
             await client.send(b"x" * 100000 + b"\r\n")
             assert await client.until(b"\r\n") == b"SERVER_ERROR failed\r\n"
             await client.send(read(2))
@@ -441,10 +439,7 @@
             await client.send(b"ms k 1 O1 Pc=once,d=5000\r\nx\r\n")
             server = await now.server.accept()
             await server.until(b"x\r\n")
-            now.raw["settings"]["grades"] = [{**CLASSES[2], "effect": "repeatable"}]
-            now.path.write_text(json.dumps(now.raw))
-            now.program.config = now.program.config._replace(shape={})
-            now.program.reload()
+            now.reload([{**CLASSES[2], "effect": "repeatable"}])
             server.reset()
             assert await client.until(b"\r\n") == b"SERVER_ERROR failed\r\n"  # it may have run, and must not again
             assert now.counters["attempts.started"] == 1 and now.counters["module.errors"] == 0
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -38,6 +38,14 @@
     now.program.registry.watch(True)
 
 
+async def watching(now: Stand) -> Peer:
+    """Have the module ask, accept its watch and say on it that nothing has changed."""
+    ask(now)
+    watch = await watched(now)
+    await watch.send(chunk(b"\n"))
+    return watch
+
+
 # pushed lists
 
 
@@ -203,9 +211,7 @@
     """What it misses counts as told 6 s after it fell silent."""
     async def play() -> None:
         async with stand(tmp_path) as now:
-            ask(now)
-            watch = await watched(now)
-            await watch.send(chunk(b"\n"))
+            _watch = await watching(now)
             await until(lambda: now.counters["registry.watches"] == 1)
             await step()
             now.router.clock._base += 2400.0  # it says something every 2 s
@@ -225,9 +231,7 @@
     """After we stood still what came meanwhile lies unread: it is read before the watch is given up."""
     async def play() -> None:
         async with stand(tmp_path, 2) as now:
-            ask(now)
-            watch = await watched(now)
-            await watch.send(chunk(b"\n"))
+            watch = await watching(now)
             await step()
             one, _ = now.entries()
             now.router.clock._base += 5000.0
@@ -258,9 +262,7 @@
 def test_bytes_of_an_old_watch_after_a_move_are_not_taken(tmp_path: Path) -> None:
     async def play() -> None:
         async with stand(tmp_path, 2) as now:
-            ask(now)
-            old = await watched(now)
-            await old.send(chunk(b"\n"))
+            old = await watching(now)
             await step()
             await old.send(chunk(listing(9, entry("s-1", "127.0.0.1:1", "terminating"), full=False)))
             now.program.registry.move(("127.0.0.1", now.discovery.port))  # before the loop has read that
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -20,7 +20,7 @@
 from starlingthread.net.clients import ClientActor, Front
 from starlingthread.net.peers import PeerActor
 
-from .test_net import READS, Talk, talk
+from .standins import READS, Talk, talk
 from .test_router import Place
 from .world import THROUGH
 
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,43 @@
+"""What answers and time-outs tell of the waiting at servers."""
+
+from __future__ import annotations
+
+from starlingthread.interface import Note, Outcome, Result
+
+from .world import THROUGH, World, only_send
+
+
+def test_a_timeout_is_no_queue_where_later_work_was_answered() -> None:
+    """Guards against refusing all when one connection fell silent: its server answers as ever."""
+    world = World(THROUGH)
+    silent = only_send(world.ask(7))
+    world.now += 100.0
+    world.read(7)
+    world.now += 800.0
+    before = world.balancer.load.views.mean_lag
+    world.end(silent, Result.TIMEOUT, elapsed=930.0)
+    assert world.balancer.load.views.mean_lag == before
+    unheard = only_send(world.ask(7))
+    world.now += 930.0
+    world.end(unheard, Result.TIMEOUT, elapsed=930.0)
+    assert world.balancer.load.views.mean_lag == before  # a lost server is no sign of queues at the others
+    busy = only_send(world.ask(7))
+    world.now += 10.0
+    alone = only_send(world.ask(7))
+    assert busy.server == alone.server
+    world.now += 890.0
+    world.end(busy, Result.OK, elapsed=900.0)
+    before = world.balancer.load.views.mean_lag
+    world.now += 40.0
+    world.end(alone, Result.TIMEOUT, elapsed=930.0)
+    assert world.balancer.load.views.mean_lag > before
+
+
+def test_the_time_of_a_fetch_is_no_queue_at_its_server() -> None:
+    world = World(THROUGH)
+    world.read(7)
+    send = only_send(world.ask(9))
+    world.now += 400.0
+    before = world.balancer.load.views.mean_lag
+    world.do(Outcome(send.id, 0, send.server, Result.OK, 400.0, True, note=Note.MISS))
+    assert world.balancer.load.views.mean_lag == before
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -16,7 +16,7 @@
 from starlingthread.core.telemetry import End
 from starlingthread.net.management import MAX_HEAD, WHOLE, Management
 
-from .test_net import Writer
+from .standins import Writer
 from .test_router import Place
 from .world import THROUGH
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -17,10 +17,10 @@
 from starlingthread.core.router import Ended, Taken
 from starlingthread.core.telemetry import End
 from starlingthread.interface import Maintenance, ListKind, MemberList, Result, Retuned
-from starlingthread.net import servers
+from starlingthread.net.upstreams import messages
 from starlingthread.net.registry import ListReader, RegistryActor
 
-from .test_net import Held, talk
+from .standins import Held, talk
 from .test_router import Place
 from .world import KEYED, READ, THROUGH, UNSAFE, World, answers, members, only_send, sends
 
@@ -105,16 +105,16 @@
         held, job = (h := Held()), h.attempt()
         held.fleet.actors[1] = held.actor
         if wait == "opening":
-            held.actor.idle.clear()
-            held.actor.opening[job] = (_Task(), held.actor._await_opening(job))  # type: ignore[assignment]
+            held.actor.pool.idle.clear()
+            held.actor.opening.jobs[job] = (_Task(), held.actor.opening._limit(job))  # type: ignore[assignment]
         held.fleet.set_maintenance(1, True)
-        opened = servers.Start(job) if wait == "idle" else servers.Opened(job, None)
+        opened = messages.Start(job) if wait == "idle" else messages.Opened(job, None)
         told = held.take(opened)
         assert [m.result for m in told] == [Result.MOOT if wait == "idle" else Result.CONNECT_FAILED]
         assert not held.writer.transport.sent
         held.fleet.set_maintenance(1, False)
         if wait == "idle":
-            held.take(servers.Start(held.attempt()))
+            held.take(messages.Start(held.attempt()))
             assert held.writer.transport.sent
 
 
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -12,10 +12,11 @@
 from starlingthread.core.pipe import WINDOW, Pipe, ByteBudget
 from starlingthread.core.router import Ended, Failed, Gone, Refused, Served, Taken, Whole
 from starlingthread.core.telemetry import End
-from starlingthread.net import meta, servers
+from starlingthread.net import meta
+from starlingthread.net.upstreams import messages
 from starlingthread.net.clients import MIDWAY
 
-from .test_net import Held, Talk, talk
+from .standins import Held, Talk, talk
 from .test_router import Place
 from .world import THROUGH, World, answers, only_send, sends
 
@@ -97,7 +98,7 @@
 
 async def started(held: Held, text: bytes = b"mg a v O1 Pc=read,d=500\r\n") -> Any:
     job = held.attempt(text)
-    held.take(servers.Start(job))
+    held.take(messages.Start(job))
     return job
 
 
@@ -106,10 +107,10 @@
     asyncio.run(started(held))
     (ended,) = held.hear(GOT + VALUE[:100])
     assert ended.result == api.Result.OK and ended.note == api.Note.HIT and ended.pipe.take() == [VALUE[:100]]
-    assert not held.actor.busy and not held.actor.idle and held.actor.delivering == {held.connection}
+    assert not held.actor.pool.busy and not held.actor.pool.idle and held.actor.pool.delivering == {held.connection}
     assert held.hear(VALUE[100:] + b"\r") == [] and ended.pipe.whole is None
-    assert held.hear(b"\n") == [] and ended.pipe.whole and held.actor.idle == [held.connection]
-    assert b"".join(ended.pipe.take()) == VALUE[100:] + b"\r\n" and not held.actor.delivering
+    assert held.hear(b"\n") == [] and ended.pipe.whole and held.actor.pool.idle == [held.connection]
+    assert b"".join(ended.pipe.take()) == VALUE[100:] + b"\r\n" and not held.actor.pool.delivering
 
 
 def test_an_answer_that_breaks_off_ends_its_pipe_and_its_connection() -> None:
@@ -118,7 +119,7 @@
         job = asyncio.run(started(held))
         (ended,) = held.hear(GOT + VALUE)
         if how == "reset":
-            held.take(servers.Broken(held.connection))
+            held.take(messages.Broken(held.connection))
         elif how == "no end":
             held.hear(b"xy")
         elif how == "stalled":
@@ -127,11 +128,11 @@
             held.actor.close()
         else:
             ended.pipe.abandon()
-            assert not asyncio.run(held.actor._until_not_full(held.connection, ended.pipe))
-            held.take(servers.Broken(held.connection))
-        assert held.writer.transport.gone and held.actor.open == 0 and not held.actor.delivering
+            assert not asyncio.run(held.actor.reader.until_not_full(held.connection, ended.pipe))
+            held.take(messages.Broken(held.connection))
+        assert held.writer.transport.gone and held.actor.pool.open == 0 and not held.actor.pool.delivering
         assert ended.pipe.whole is False or how == "nobody waits"
-        assert not held.actor.busy and job not in held.actor.busy
+        assert not held.actor.pool.busy and job not in held.actor.pool.busy
 
 
 def test_an_answer_to_something_else_is_no_answer_however_long() -> None:
@@ -323,7 +324,7 @@
 
     async def begin(self) -> None:
         self.actor.fleet.watcher = type(self.fleet.watcher)()
-        self.take(servers.Start(self.job))
+        self.take(messages.Start(self.job))
         await settle()
         assert self.writer.transport.sent == PUT.replace(b"d=500", b"d=400") + VALUE[:7]
 
@@ -340,7 +341,7 @@
             await settle()
             assert held.writer.transport.sent.endswith(VALUE + b"\r\n")
         reset = breaks == "reset"
-        told = held.take(servers.Broken(held.connection)) if reset else held.hear(b"SERVER_ERROR failed\r\n")
+        told = held.take(messages.Broken(held.connection)) if reset else held.hear(b"SERVER_ERROR failed\r\n")
         assert held.writer.transport.gone == (reset or not whole)
         assert whole or held.body.abandoned
         return told[0].result, held.place.router.telemetry.backend_calls
--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,83 @@
+"""Discovery: lists, watches and the ids of servers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from starlingthread import interface as api
+from starlingthread.core.actors import Watcher
+from starlingthread.net.registry import LIST_PATH, Ids, ListError, ListReader, RegistryActor
+
+from .test_router import Place
+
+LINE = {"name": "s-1", "address": "127.0.0.1:11211", "zone": "b", "type": "m2", "group": 3,
+        "status": "in_service", "weight": 1.5, "since_ms": 17}
+
+
+def test_a_list_is_read_and_unknown_places_lie_behind_the_known() -> None:
+    reader = ListReader(("a", "b"), ("m1", "m2"))
+    odd = {**LINE, "name": "s-2", "zone": "x", "type": None, "status": "terminating"}
+    told = reader.read({"index": 4, "snapshot": False, "endpoints": [odd, LINE]})
+    one, two = told.event.members
+    assert one == api.Member(Ids().of("s-1"), 1, 1, 3, api.ServerState.READY, 1.5, 17.0)
+    assert (two.zone, two.kind, two.state) == (2, 2, api.ServerState.DRAINING)
+    assert told.event.kind == api.ListKind.DELTA and told.addresses[one.server] == ("127.0.0.1", 11211)
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(st.recursive(st.none() | st.integers() | st.text(max_size=5) | st.floats(), lambda inner: st.lists(
+    inner, max_size=3) | st.dictionaries(st.sampled_from([*LINE, "endpoints", "index", "snapshot"]), inner)))
+def test_any_json_is_a_list_or_a_list_error(raw: object) -> None:
+    for text in (raw, {"index": 1, "snapshot": True, "endpoints": [raw, {**LINE, "zone": raw}]}):
+        with contextlib.suppress(ListError):
+            assert ListReader(("a",), ("m1",)).read(text).event.kind in api.ListKind
+
+
+def test_ids_come_from_the_name_and_collisions_are_told_apart() -> None:
+    names = [f"s-{n}" for n in range(300)]
+    one, other = Ids(), Ids()
+    assert [one.of(n) for n in names] == [other.of(n) for n in reversed(names)][::-1]
+    crowded = Ids()
+    crowded._taken.add(Ids().of("s-1"))
+    assert crowded.of("s-1") != Ids().of("s-1") and crowded.of("s-1") == crowded.of("s-1") < 1 << 32
+
+
+def test_discovery_that_moves_is_asked_anew_and_its_old_watch_is_no_failure() -> None:
+    """Guards a reload: what is told at the new address counts as told soon after the signal."""
+    async def play() -> None:
+        place, spoken = Place(), []
+        registry = RegistryActor(place.router, ListReader((), ()), ("127.0.0.1", 1), Watcher())
+
+        async def speak(path: str, watch: bool) -> None:
+            spoken.append((registry.address[1], path))
+            await asyncio.Event().wait()
+
+        registry._speak = speak  # type: ignore[method-assign]
+        registry.watcher.start(registry.run(), "registry", lambda _: None)
+        registry.watch(True)
+        registry.fetch()
+        await asyncio.sleep(0.0)
+        await asyncio.sleep(0.0)
+        old, fetch = registry._watching, next(iter(registry._fetching))
+        registry.move(("127.0.0.1", 2))
+        for _ in range(4):
+            await asyncio.sleep(0.0)
+        paths = [f"{LIST_PATH}?watch=1&after=0", LIST_PATH]
+        assert spoken == [(port, path) for port in (1, 2) for path in paths]
+        assert old is not None and old.cancelled() and fetch.cancelled()
+        assert registry.counters["registry.failures"] == 0
+        assert not place.router.mailbox.take()
+        await registry.watcher.stop()
+
+    asyncio.run(play())
+
+
+def test_names_that_are_gone_are_forgotten_and_come_back_with_the_same_id() -> None:
+    ids = Ids()
+    one, two = ids.of("s-1"), ids.of("s-2")
+    ids.keep({two})
+    assert ids._taken == {two} and ids.of("s-1") == one
--- /dev/null
+++ b/tests/test_state.py
@@ -0,0 +1,20 @@
+"""What the module knows does not grow for ever."""
+
+from __future__ import annotations
+
+from starlingthread.interface import ListKind, Member, MemberList, ServerState
+
+from .world import THROUGH, World
+
+
+def test_servers_and_keys_that_are_long_gone_are_forgotten() -> None:
+    """Guards memory on a day on which servers and keys come and go."""
+    world = World(THROUGH)
+    for turn in range(40):
+        gone, new = turn + 1, turn + 5
+        world.do(MemberList(ListKind.DELTA, turn + 2, (
+            Member(gone, state=ServerState.GONE), Member(new))))
+        for key in range(50):
+            world.now += 100.0
+            world.read(turn * 1000 + key)
+    assert len(world.balancer.fleet.servers) < 10 and len(world.balancer.affinity.keys) <= 400
--- a/tests/world.py
+++ b/tests/world.py
@@ -23,6 +23,7 @@
     report_fields=("util", "inflight"), report_how="piggyback",
 )
 THROUGH = ASIDE._replace(mode="through", origin_kind=-1)
+COPIES = THROUGH._replace(second_copies=True)
 
 
 def members(count: int = 4, *, zones: int = 1, started: float = 0.0) -> tuple[Member, ...]:
@@ -107,3 +108,25 @@
 def answers(actions: list[Action]) -> list[Refuse | Fail]:
     """Return the final answers among some actions."""
     return [a for a in actions if isinstance(a, Refuse | Fail)]
+
+
+def late_reads(world: World, count: int, elapsed: float) -> None:
+    """Let some reads of many keys be answered after a long wait."""
+    for key in range(count):
+        world.now += 20.0
+        for send in sends(world.ask(1000 + key, cost=0.0)):
+            world.end(send, Result.OK, elapsed=elapsed)
+
+
+def warmed_up(world: World) -> int:
+    """Let one key be read until its owner is counted and second copies are saved up; return the owner."""
+    return [world.read(7) for _ in range(40)][-1]
+
+
+def fetch_many(world: World, count: int, result: Result, took: float = 60.0) -> None:
+    """Let reads of keys that are cached nowhere end in some way."""
+    for _ in range(count):
+        world.now += 20.0
+        for send in sends(world.ask(100000 + int(world.now))):
+            world.do(Outcome(send.id, 0, send.server, result, took, result == Result.OK,
+                             note=Note.MISS if result == Result.OK else Note.NONE))
