Name hot keys, drained zones and the round trip between regions in the operator's file

[balance] turned on more owners for hot keys, closed named zones that are drained by hand, and far_ms was the round trip between two regions. An older key is an error that names the new one, as in scenarios; a running process keeps what it had. Tests for each; red without the table of names.

--- a/starlingthread/failover/zones.py
+++ b/starlingthread/failover/zones.py
@@ -27,7 +27,7 @@
         self.plan = Plan(me, members)
         self.topology = Topology((), {})
         self.far = 0.0  # ms that it takes longer, there and back, in another region
-        self.closed: frozenset[int] = frozenset()  # by operators
+        self.drained: frozenset[int] = frozenset()  # by operators
         self.seen: dict[int, ZoneSeen] = {}
         self.sizes: dict[int, int] = {}  # listed servers by zone
         self.telling: list[Word] = []  # taken out by who tells them to all
@@ -75,7 +75,7 @@
         Where all zones would be left alone none is: then it is we who see nothing, or nothing is better than the rest.
         What operators close stays closed all the same.
         """
-        if zone in self.closed:
+        if zone in self.drained:
             return False
         return self._may(now, zone, key) or not any(self._may(now, other, key) for other in self.sizes)
 
@@ -84,7 +84,7 @@
         return self.far if self.topology.step(here, there) > 1 else 0.0
 
     def _may(self, now: float, zone: int, key: int) -> bool:
-        if zone in self.closed:
+        if zone in self.drained:
             return False
         if self._is_lost(zone) and self.plan.me not in self.plan.chosen(zone):
             return False  # the witnesses find out for all
@@ -143,5 +143,5 @@
     def state(self, now: float) -> dict[int, float]:
         """Return for each zone that is not wholly open the share of keys that it may have."""
         shares = {zone: plan.share(now) for zone, plan in self.plan.zones.items()}
-        shares.update(dict.fromkeys((*self._shut, *self.closed), 0.0))
+        shares.update(dict.fromkeys((*self._shut, *self.drained), 0.0))
         return {zone: share for zone, share in shares.items() if share < 1}
--- a/starlingthread/interface.py
+++ b/starlingthread/interface.py
@@ -119,7 +119,7 @@
     price_late_fail: float = 0.0
     price_waste: float = 0.0
     worth_by_work: bool = False
-    balance: bool = False  # hot keys get more owners; the operator's file turns it on
+    hot_keys: bool = False  # they get more owners; the operator's file turns it on
 
     def validated(self) -> Settings:
         """Return self, or raise a ValueError that names the setting that makes no sense."""
--- a/starlingthread/net/failover.py
+++ b/starlingthread/net/failover.py
@@ -42,7 +42,7 @@
         from ..failover.zones import Zones
         try:
             topology, keys = Topology(names, own.regions), read_keys(members)
-            if unknown := sorted(set(own.closed) - set(names)):
+            if unknown := sorted(set(own.drained_zones) - set(names)):
                 raise TopologyError(f"closed: no zone {unknown[0]!r} in the configuration")
         except (TopologyError, BadKeyError) as error:
             log.error("failover-failed", why=str(error))
@@ -59,8 +59,8 @@
             self.router.module.fleet.zones = self.zones
             self._set()
         self.zones.know(self.members.alive())
-        self.zones.topology, self.zones.far = topology, own.far_ms
-        self.zones.closed = frozenset(names.index(zone) for zone in own.closed)
+        self.zones.topology, self.zones.far = topology, own.region_round_trip_ms
+        self.zones.drained = frozenset(names.index(zone) for zone in own.drained_zones)
         if self._tells:
             self.peers.takers[VERSION] = self._received
         else:
--- a/starlingthread/options.py
+++ b/starlingthread/options.py
@@ -17,6 +17,7 @@
 
 VARIABLE = "STARLINGTHREAD_OPTIONS"
 USUAL = Path("deploy/starlingthread.toml")
+RENAMED = {"balance": "hot_keys", "far_ms": "region_round_trip_ms", "closed": "drained_zones"}  # keys of older files
 
 
 class OptionsError(Exception):
@@ -30,8 +31,8 @@
     level: Literal["debug", "info", "warning", "error"] = "info"
 
 
-class Balance(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """How load is spread over the cache servers."""
+class HotKeys(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Whether keys that are asked for often have more owners than others."""
 
     enabled: bool = False
 
@@ -50,21 +51,21 @@
 
     enabled: bool = False
     regions: dict[str, list[str]] = {}  # zones by region; a zone that stands in none is a region of its own
-    far_ms: Annotated[float, msgspec.Meta(ge=0.0, le=10000.0)] = 0.0  # there and back, between two regions
-    closed: list[str] = []  # zones that operators leave alone, whatever is seen of them
+    region_round_trip_ms: Annotated[float, msgspec.Meta(ge=0.0, le=10000.0)] = 0.0  # between two regions
+    drained_zones: list[str] = []  # zones that operators leave alone, whatever is seen of them
 
 
 class Options(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """The whole file."""
 
     log: Log = Log()
-    balance: Balance = Balance()
+    hot_keys: HotKeys = HotKeys()
     membership: Members = Members()
     failover: Failover = Failover()
 
     def over(self, settings: Settings) -> Settings:
         """Return the platform's settings with what this file turns on in the module."""
-        return settings._replace(balance=self.balance.enabled)
+        return settings._replace(hot_keys=self.hot_keys.enabled)
 
 
 def with_new_name(message: str, renamed: dict[str, str]) -> str:
@@ -89,6 +90,7 @@
         raise OptionsError(f"{name}: not valid TOML: {error}") from None
     except msgspec.ValidationError as error:
         message, _, key = str(error).partition(" - at `$")
+        message = with_new_name(message, RENAMED)
         raise OptionsError(
             f"{name}: {key.rstrip('`').lstrip('.') or 'the top level'}: {message[:1].lower()}{message[1:]}") from None
 
--- a/starlingthread/policy/affinity.py
+++ b/starlingthread/policy/affinity.py
@@ -66,5 +66,5 @@
             self.owners.update(*([Candidate(s.salt, s.line.weight * self.load.speed(s), s.line.server)
                                   for s in fleet.ready if s.line.zone in zones]
                                  for zones in ({s.line.zone for s in fleet.ready}, {fleet.set.zone})))
-        demand = fleet.demand if fleet.set.balance else None
+        demand = fleet.demand if fleet.set.hot_keys else None
         return entry.owners.of(now, req.key, req.is_write, self.owners, demand)
--- a/tests/stream.py
+++ b/tests/stream.py
@@ -24,7 +24,7 @@
 SETTINGS: dict[str, Settings] = {
     "aside": ASIDE._replace(second_copies=True, price_origin=0.02, price_cross_zone=0.01, must_ask=True,
                             ask_within=3000.0),
-    "through": THROUGH._replace(second_copies=True, balance=True, price_cross_zone=0.05, max_open=40),
+    "through": THROUGH._replace(second_copies=True, hot_keys=True, price_cross_zone=0.05, max_open=40),
     "through, few tries": THROUGH._replace(max_attempts=2, can_cancel=False, cold_time=20000.0, tip_after=1000.0),
 }
 SEEDS = (1, 2)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -101,8 +101,8 @@
 # the module
 
 
-def ask_often(me: int, balance: bool, times: int = 60) -> Counter[int]:
-    world = World(THROUGH._replace(balance=balance, balancers=100, me=me), members(24), seed=me + 1)
+def ask_often(me: int, hot_keys: bool, times: int = 60) -> Counter[int]:
+    world = World(THROUGH._replace(hot_keys=hot_keys, balancers=100, me=me), members(24), seed=me + 1)
     used: Counter[int] = Counter()
     for _ in range(times):
         send = only_send(world.ask(7, cost=0.0))
@@ -116,8 +116,8 @@
 def test_routers_spread_a_hot_key_over_its_owners_and_each_stays_with_its_own() -> None:
     plain, spread = Counter[int](), Counter[int]()
     for me in range(30):
-        plain += ask_often(me, balance=False)
-        mine = ask_often(me, balance=True)
+        plain += ask_often(me, hot_keys=False)
+        mine = ask_often(me, hot_keys=True)
         assert mine.most_common(1)[0][1] > 40  # it returns to one of them
         spread += mine
     assert plain.most_common(1)[0][1] > 0.8 * plain.total()
@@ -125,21 +125,21 @@
 
 
 def test_the_operators_file_turns_it_on_and_a_reload_off_again() -> None:
-    assert not options.parse("", "f").over(THROUGH).balance
-    own = options.parse("[balance]\nenabled = true\n", "f")
-    assert own.over(THROUGH).balance
-    with pytest.raises(options.OptionsError, match=r"balance\.enabled"):
-        options.parse('[balance]\nenabled = "yes"\n', "f")
+    assert not options.parse("", "f").over(THROUGH).hot_keys
+    own = options.parse("[hot_keys]\nenabled = true\n", "f")
+    assert own.over(THROUGH).hot_keys
+    with pytest.raises(options.OptionsError, match=r"hot_keys\.enabled"):
+        options.parse('[hot_keys]\nenabled = "yes"\n', "f")
     world = World(own.over(THROUGH)._replace(balancers=100, me=3), members(24))
     before = [world.read(7) for _ in range(40)]
-    world.do(Retuned(world.set._replace(balance=False)))
+    world.do(Retuned(world.set._replace(hot_keys=False)))
     away = {world.read(7) for _ in range(60)}
     plain = World(THROUGH._replace(balancers=100, me=3), members(24))
     assert before[0] == plain.read(7) != before[-1] and before[-1] in away
 
 
 def test_a_fleet_that_grew_by_a_reload_counts_at_once() -> None:
-    world = World(THROUGH._replace(balance=True), members(24, zones=3))
+    world = World(THROUGH._replace(hot_keys=True), members(24, zones=3))
     world.do(Retuned(world.set._replace(balancers=90)))
     crowd = world.balancer.fleet.demand
     assert (crowd.routers, crowd.servers, crowd.sharing) == (90, 24, 30.0)
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -178,9 +178,9 @@
         for server in (1, 2):
             zones.owes(NOW, zone, zone * 10 + server, NOW - 1.0)
     assert zones.is_open(NOW, 0, 7) and zones.is_open(NOW, 1, 7)
-    zones.closed = frozenset({0})
+    zones.drained = frozenset({0})
     assert not zones.is_open(NOW, 0, 7) and zones.is_open(NOW, 1, 7) and zones.state(NOW) == {0: 0.0, 1: 0.0}
-    zones.closed = frozenset()
+    zones.drained = frozenset()
     zones.heard(NOW + 1.0, 0, 1, 5.0)
     assert zones.is_open(NOW + 1.0, 0, 7) and not zones.is_open(NOW + 1.0, 1, 7)
     assert zones.is_open(NOW + TRY_EVERY, 1, 7)
@@ -229,8 +229,22 @@
     assert [topology.step(0, zone) for zone in (0, 1, 2, 9)] == [0, 1, 2, 2] and topology.unknown == ["z"]
     with pytest.raises(TopologyError, match="'a' is in the regions 'east' and 'west'"):
         Topology(("a",), {"east": ["a"], "west": ["a"]})
-    with pytest.raises(options.OptionsError, match=r"failover\.far_ms"):
-        options.parse("[failover]\nfar_ms = -1\n", "own.toml")
+    with pytest.raises(options.OptionsError, match=r"failover\.region_round_trip_ms"):
+        options.parse("[failover]\nregion_round_trip_ms = -1\n", "own.toml")
+
+
+@pytest.mark.parametrize(("text", "error"), [
+    ("[balance]\nenabled = true", "own.toml: the top level: object contains unknown field `balance`, it is called "
+     "`hot_keys` now"),
+    ("[failover]\nfar_ms = 20", "own.toml: failover: object contains unknown field `far_ms`, it is called "
+     "`region_round_trip_ms` now"),
+    ("[failover]\nclosed = ['b']", "own.toml: failover: object contains unknown field `closed`, it is called "
+     "`drained_zones` now"),
+])
+def test_an_older_key_of_the_operators_file_is_an_error_that_names_the_new_one(text: str, error: str) -> None:
+    with pytest.raises(options.OptionsError) as raised:
+        options.parse(text, "own.toml")
+    assert str(raised.value) == error
 
 
 def test_the_module_leaves_a_lost_zone_alone_and_asks_now_and_then() -> None:
--- a/tests/test_herd.py
+++ b/tests/test_herd.py
@@ -74,7 +74,7 @@
 
 
 def test_the_module_does_not_herd_and_the_least_reported_load_does(tmp_path: Path) -> None:
-    ours = played(tmp_path / "ours", "routers.options.balance.enabled=true")
+    ours = played(tmp_path / "ours", "routers.options.hot_keys.enabled=true")
     herd = played(tmp_path / "herd", 'routers.policy="least-reported"')
     assert ours.evenness is not None and herd.evenness is not None
     assert not ours.verdict.counts and ours.worth_share > 0.95
