Send our end of file only once nothing is unsent, so that a reset meanwhile raises nothing

Read: with bytes unsent asyncio sends the end of file from its own write callback; if the client resets after the last byte has gone out and before that, the shutdown raises ENOTCONN in a callback, which nobody takes and which is logged as an exception. Forced by a socket that resets just then: OSError 107 in the loop's handler before, nothing after. At fault: ClientActor._linger, which called write_eof with a full buffer. It drains first now, within the same bound; with nothing unsent that is no wait. What comes meanwhile was dropped before as well.

--- a/starlingthread/net/clients.py
+++ b/starlingthread/net/clients.py
@@ -391,10 +391,15 @@
         self.lingering = True
         self.used_at = self.front.clock.now()
         transport = self.writer.transport
-        self.writer.write_eof()  # in the same step in which nothing more was owed or lay unread
         span = STUCK if transport.get_write_buffer_size() else LINGER  # what is unsent goes out before it
         limit = self.front.deadlines.set(self.used_at + span, transport.abort)
         try:
+            # With bytes unsent asyncio would send the end of file from a callback of its own, and a reset between the
+            # last byte and that would be an exception that nobody takes. With none this does not wait: it is the step
+            # in which nothing more was owed or lay unread.
+            transport.set_write_buffer_limits(0)
+            await self.writer.drain()
+            self.writer.write_eof()
             await asyncio.gather(reading, return_exceptions=True)  # it has given up the stream then
             transport.resume_reading()  # type: ignore[attr-defined]
             left = LINGER_BYTES
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
+import select
 import signal
 import socket
 import subprocess
@@ -283,6 +285,54 @@
     asyncio.run(play())
 
 
+class BreaksOff:
+    """Stands before a socket: its other side resets in the moment in which the last byte has gone out."""
+
+    def __init__(self, sock: Any, client: Peer) -> None:
+        self.socket, self.client = sock, client
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.socket, name)
+
+    def send(self, data: bytes) -> int:
+        sent = int(self.socket.send(data))
+        if sent == len(data):
+            self.client.reset()
+            ended = select.poll()
+            ended.register(self.socket.fileno(), select.POLLHUP)
+            assert ended.poll(LIMIT * 1000.0)
+        return sent
+
+
+def test_a_reset_between_the_last_byte_and_our_end_of_file_raises_nothing(tmp_path: Path) -> None:
+    async def play() -> None:
+        raised: list[dict[str, Any]] = []
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: raised.append(context))
+        async with stand(tmp_path) as now:
+            client = await now.client(buffer=4096)
+            actor = now.actor_of(client)
+            actor.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            await client.send(read(1))
+            server = await now.server.accept()
+            await server.until(b"\r\n")
+            await server.send(b"VA 60000 O1 h1\r\n" + b"x" * 60000 + b"\r\n")
+            await until(lambda: now.counters["attempts.ok"] == 1 and not actor.slots)
+            transport = actor.writer.transport
+            assert transport.get_write_buffer_size()
+            actor.shut_when_idle()
+            await step()
+            transport._sock = BreaksOff(transport._sock, client)
+            while client.socket.fileno() >= 0:
+                with contextlib.suppress(BlockingIOError):
+                    client.socket.recv(65536)
+                await step()
+            await until(lambda: not now.program.front.actors)
+            await step()
+        assert not raised
+
+    asyncio.run(play())
+
+
 def test_who_lingers_makes_room_before_anybody_else(tmp_path: Path) -> None:
     async def play() -> None:
         async with stand(tmp_path) as now:
