Send our end of file in the step in which a connection that is closed was seen to be unread

Connections that look idle are closed there by the hundred a second for their descriptors. Whether something lies unread is asked, but the transport closes the socket a turn of the loop later, 20 to 70 ms there; a request that comes in between was taken off the socket and reset, with no end of file before it. At fault: ClientActor.run, for connections closed in a hurry alone; the others have had their end of file at once since the lingering close. The end of file goes out in that step now; test red without.

--- a/starlingthread/net/clients.py
+++ b/starlingthread/net/clients.py
@@ -356,8 +356,13 @@
         try:
             await self._answer_all()
             reading.cancel()
-            if not self.ended and not self.hurried and not self.writer.transport.is_closing():
-                await self._linger(reading)
+            if not self.ended and not self.writer.transport.is_closing():
+                if not self.hurried:
+                    await self._linger(reading)
+                elif not self.writer.transport.get_write_buffer_size():
+                    # At once, as a transport closes its socket a turn of the loop later only: what comes until then
+                    # would count as taken off the socket, and a turn is long on a core that is too small.
+                    self.writer.write_eof()
         except OSError:
             self.front.counters.note("clients.reset")
         finally:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -333,6 +333,28 @@
     asyncio.run(play())
 
 
+def test_who_is_closed_for_the_descriptor_is_told_in_the_step_in_which_nothing_lay_unread(tmp_path: Path) -> None:
+    """What came between that step and the close of the socket, a turn later, was lost with no end of file before."""
+    async def play() -> None:
+        async with stand(tmp_path) as now:
+            client = await resting(now)
+            actor, told = now.actor_of(client), []
+            close = actor.writer.close
+
+            def closes() -> None:
+                ended = select.poll()
+                ended.register(client.socket, select.POLLRDHUP)
+                told.append(bool(ended.poll(0)))
+                close()
+
+            actor.writer.close = closes
+            actor.close_idle()
+            await until(lambda: bool(told))
+            assert told == [True]
+
+    asyncio.run(play())
+
+
 def test_who_lingers_makes_room_before_anybody_else(tmp_path: Path) -> None:
     async def play() -> None:
         async with stand(tmp_path) as now:
