--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -258,24 +258,36 @@
     asyncio.run(play())
 
 
+def exceptions() -> list[dict[str, Any]]:
+    """Return what callbacks of this loop raise from now on, which nobody else takes."""
+    raised: list[dict[str, Any]] = []
+    asyncio.get_running_loop().set_exception_handler(lambda _, context: raised.append(context))
+    return raised
+
+
+async def closing_with_bytes_unsent(now: Stand) -> tuple[Peer, Any]:
+    """Have a client be closed behind an answer that it has not read; return it, and the router's transport to it."""
+    client = await now.client(buffer=4096)
+    actor = now.actor_of(client)
+    actor.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    await client.send(read(1))
+    server = await now.server.accept()
+    await server.until(b"\r\n")
+    await server.send(b"VA 60000 O1 h1\r\n" + b"x" * 60000 + b"\r\n")
+    await until(lambda: now.counters["attempts.ok"] == 1 and not actor.slots)
+    assert actor.writer.transport.get_write_buffer_size()
+    actor.shut_when_idle()
+    await step()
+    return client, actor.writer.transport
+
+
 @pytest.mark.parametrize("how", ["reset", "close"])
 def test_a_client_that_breaks_off_while_its_last_answer_goes_out_raises_nothing(tmp_path: Path, how: str) -> None:
     """Our end of file waits behind what is unsent; it was sent from a callback then, which may fail."""
     async def play() -> None:
-        raised: list[dict[str, Any]] = []
-        asyncio.get_running_loop().set_exception_handler(lambda _, context: raised.append(context))
+        raised = exceptions()
         async with stand(tmp_path) as now:
-            client = await now.client(buffer=4096)
-            actor = now.actor_of(client)
-            actor.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-            await client.send(read(1))
-            server = await now.server.accept()
-            await server.until(b"\r\n")
-            await server.send(b"VA 60000 O1 h1\r\n" + b"x" * 60000 + b"\r\n")
-            await until(lambda: now.counters["attempts.ok"] == 1 and not actor.slots)
-            assert actor.writer.transport.get_write_buffer_size()
-            actor.shut_when_idle()
-            await step()
+            client, _ = await closing_with_bytes_unsent(now)
             await client.receive()
             getattr(client, how)()
             await until(lambda: not now.program.front.actors)
@@ -306,21 +318,9 @@
 
 def test_a_reset_between_the_last_byte_and_our_end_of_file_raises_nothing(tmp_path: Path) -> None:
     async def play() -> None:
-        raised: list[dict[str, Any]] = []
-        asyncio.get_running_loop().set_exception_handler(lambda _, context: raised.append(context))
+        raised = exceptions()
         async with stand(tmp_path) as now:
-            client = await now.client(buffer=4096)
-            actor = now.actor_of(client)
-            actor.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-            await client.send(read(1))
-            server = await now.server.accept()
-            await server.until(b"\r\n")
-            await server.send(b"VA 60000 O1 h1\r\n" + b"x" * 60000 + b"\r\n")
-            await until(lambda: now.counters["attempts.ok"] == 1 and not actor.slots)
-            transport = actor.writer.transport
-            assert transport.get_write_buffer_size()
-            actor.shut_when_idle()
-            await step()
+            client, transport = await closing_with_bytes_unsent(now)
             transport._sock = BreaksOff(transport._sock, client)
             while client.socket.fileno() >= 0:
                 with contextlib.suppress(BlockingIOError):
