Let first responses replace first guesses, and keep load reports as counts of requests

Cause: a router that has just started guesses service and fetch times by a share of the latency objective, and the guesses entered what outlasts them: load reports kept as ms, waits, concurrency limits, the origin throttle, costs in slow start, speeds of machine kinds.

Change: load reports are kept as requests and turned into ms when used; the first response or fetch replaces the guess, the next ones are averaged with the long run's smaller weight for slower ones; a class without responses shows no wait and costs one mean request; until ten responses its service time does not make a request too late.

--- a/starlingthread/balance/load.py
+++ b/starlingthread/balance/load.py
@@ -25,14 +25,17 @@
     __slots__ = ("report", "report_at", "wait", "wait_at")
 
     def __init__(self) -> None:
-        self.report = 0.0  # ms of waiting that the last load report implies
+        self.report = 0.0  # requests ahead of a new one, per core, by the last load report
         self.report_at = -math.inf
         self.wait = 0.0  # ms of waiting that the last attempt met
         self.wait_at = -math.inf
 
 
 class WaitEstimates:
-    """The waiting to expect at a server: its last observations, decaying to the means over all servers."""
+    """The waiting to expect at a server: its last observations, decaying to the means over all servers.
+
+    Waits are in ms, reported queues in requests per core.
+    """
 
     __slots__ = ("_field_index", "mean_report", "mean_wait")
 
@@ -50,20 +53,23 @@
         weight = math.exp2((load.wait_at - now) / WAIT_HALF_LIFE)
         return load.wait * weight + self.mean_wait * (1 - weight)
 
-    def reported_wait(self, now: float, load: ServerLoad) -> float:
-        """Return the waiting in ms to expect by the last load report."""
+    def reported_queue(self, now: float, load: ServerLoad) -> float:
+        """Return the requests ahead of a new one, per core, to expect by the last load report."""
         weight = math.exp2((load.report_at - now) / REPORT_HALF_LIFE)
         return load.report * weight + self.mean_report * (1 - weight)
 
-    def on_report(self, now: float, load: ServerLoad, report: Sequence[float], mean_work: float) -> None:
-        """Record a load report, whose missing values count as 0; mean_work: ms that a request takes."""
+    def on_report(self, now: float, load: ServerLoad, report: Sequence[float]) -> None:
+        """Record a load report, whose missing values count as 0.
+
+        It counts requests and is kept as such: a report turned into ms by the service time known when it came kept
+        requests from a server for seconds after a restart, as that service time was a guess.
+        """
         if not report or not self._field_index:
             return
-        waiting_requests = max(
+        load.report = max(
             _waiting_requests(name, max(0.0, report[index]) if index < len(report) else 0.0)
             for name, index in self._field_index.items()
         )
-        load.report = waiting_requests * mean_work
         load.report_at = now
         self.mean_report += (load.report - self.mean_report) * REPORT_GAIN
 
--- a/starlingthread/baselines/policies.py
+++ b/starlingthread/baselines/policies.py
@@ -133,7 +133,7 @@
         if cell is None:
             return 0.0
         load: float = LOAD_CELL.unpack_from(self._cells, cell * LOAD_CELL.size)[0]
-        return load * self.mean_service_time
+        return load * self.service_times.mean
 
     def queueing_delay(self, now: float, server: Server, expected_wait: float) -> float:
         """Return the delay (ms) by all requests at a server."""
@@ -141,7 +141,7 @@
 
     def expected_wait(self, now: float, server: Server) -> float:
         """Return the wait (ms) before a server begins with another request."""
-        return max(0.0, self._true_delay(server) - self.mean_service_time)
+        return max(0.0, self._true_delay(server) - self.service_times.mean)
 
 
 def balancer_with(choice: type[ServerChoice] = ServerChoice, load: type[LoadEstimate] = LoadEstimate) -> type[Balancer]:
--- a/starlingthread/limits/origin_throttle.py
+++ b/starlingthread/limits/origin_throttle.py
@@ -11,15 +11,17 @@
 ALARM_RECOVERY = 0.8  # factor on the alarm for each good fetch
 SLOW_FETCH_FACTOR = 4.0  # times the typical fetch time from which a fetch does not count as served
 MAX_REQUEST_RATIO = 1.5  # requested fetches per served one that put no pressure on the origin
-TYPICAL_GAIN_UP = 0.02  # weight of a slower fetch in the typical fetch time
-TYPICAL_GAIN_DOWN = 0.1  # weight of a faster one: fast fetches show what the origin can do
+TYPICAL_GAIN = 0.1  # weight of a fetch in the typical fetch time; greater while there are few
+SLOWER_WEIGHT = 0.2  # factor on the weight of a fetch slower than typical: fast ones show what the origin can do
 
 
 class OriginThrottle:
     """The pressure on the origin: the fetches requested against those served in time, with decaying counts."""
 
-    def __init__(self, initial_fetch_time: float) -> None:
-        self.typical_fetch_time = initial_fetch_time  # ms; while the origin is not overloaded
+    def __init__(self, first_guess: float) -> None:
+        """Begin with a first guess of a fetch's time (ms), used until a fetch has succeeded."""
+        self.typical_fetch_time = first_guess  # ms; while the origin is not overloaded
+        self._success_count = 0
         self._requested = 0.0
         self._served = 0.0
         self._alarm = 0.0
@@ -51,11 +53,22 @@
         """Record a fetch; one that took less than fast_enough ms never counts as slow."""
         self._decay(now)
         self._requested += 1
+        if success:
+            self._learn_fetch_time(elapsed)
         # An overload shows in the latency before fetches fail.
         served = success and elapsed < max(fast_enough, SLOW_FETCH_FACTOR * self.typical_fetch_time)
         self._served += served
         # The counts react too late in a router that sends a fetch every other second; the alarm does not.
         self._alarm = self._alarm * ALARM_RECOVERY if served else min(1.0, self._alarm + ALARM_STEP)
-        if success:
-            gain = TYPICAL_GAIN_UP if elapsed > self.typical_fetch_time else TYPICAL_GAIN_DOWN
-            self.typical_fetch_time += (elapsed - self.typical_fetch_time) * gain
+
+    def _learn_fetch_time(self, elapsed: float) -> None:
+        """Average the times (ms) of successful fetches; the first one replaces the guess.
+
+        A guess far below the time that a fetch takes would make a healthy origin look overloaded for good, as fetches
+        that count as slow are throttled and so hardly teach anything.
+        """
+        self._success_count += 1
+        gain = max(TYPICAL_GAIN, 1.0 / self._success_count)
+        if elapsed > self.typical_fetch_time and self._success_count > 1:
+            gain *= SLOWER_WEIGHT
+        self.typical_fetch_time += (elapsed - self.typical_fetch_time) * gain
--- a/starlingthread/limits/service_time.py
+++ b/starlingthread/limits/service_time.py
@@ -4,6 +4,9 @@
 a time. What is learned is the time of a typical request, and by how much the time grows when the hint doubles: the
 slope of log(time) over log(hint), 0 for hints without information and 1 for exact ones, whatever their unit. Queueing
 and chance flatten that slope and so reduce the effect of a rough hint, as is desired.
+
+The first guess of the typical time has no weight of its own: the first response replaces it, and the next ones are
+averaged until each has no more weight than in the long run (docs/incidents/first-guess-of-service-time.md).
 Least squares with decaying sums: Ljung and Söderström, "Theory and Practice of Recursive Identification" (1983).
 """
 
@@ -14,8 +17,9 @@
 MIN_GAIN = 0.005  # weight of one response in the sums; greater while there are few
 MIN_HINTED_RESPONSES = 50  # before hints are used
 MIN_VARIANCE = 1e-6  # of the logarithms of hints, before hints are used
-TYPICAL_GAIN_UP = 0.03  # weight of a slower response in the typical time
-TYPICAL_GAIN_DOWN = 0.1  # weight of a faster one: it counts more, as queueing is not service
+TYPICAL_GAIN = 0.1  # weight of a response in the typical time; greater while there are few
+SLOWER_WEIGHT = 0.3  # factor on the weight of a response slower than typical, as queueing is not service
+MIN_RESPONSES = 10  # before the typical time tells that a request would be late
 MAX_DEVIATIONS = 2.5  # standard deviations of the logarithms of hints at which a hint is clamped
 MIN_HINT = 1e-9  # hints outside of these bounds, and NaN, count as none
 MAX_HINT = 1e12
@@ -25,16 +29,36 @@
 class ServiceTime:
     """The time of a typical request of one class in ms, and the statistics of its hints."""
 
-    __slots__ = ("covariance", "hinted_count", "mean_log_hint", "mean_log_time", "typical", "variance")
+    __slots__ = (
+        "covariance",
+        "hinted_count",
+        "mean_log_hint",
+        "mean_log_time",
+        "response_count",
+        "typical",
+        "variance",
+    )
 
-    def __init__(self, typical: float) -> None:
-        self.typical = typical  # ms
+    def __init__(self, first_guess: float) -> None:
+        """Begin with a first guess (ms), used until there is a response."""
+        self.typical = first_guess  # ms
+        self.response_count = 0
         self.hinted_count = 0  # responses to requests with a hint
         self.mean_log_hint = 0.0
         self.mean_log_time = 0.0
         self.variance = 0.0  # of the logarithms of hints
         self.covariance = 0.0  # of the logarithms of hints and times
 
+    @property
+    def is_learned(self) -> bool:
+        """Whether the typical time comes from a response, not from the first guess."""
+        return self.response_count > 0
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether so many responses have been seen that a single one says little."""
+        return self.response_count >= MIN_RESPONSES
+
     def expected(self, hint: float) -> float:
         """Return the expected time in ms of a request with this hint; 0 means none."""
         return self.typical * self._hint_factor(hint)
@@ -43,7 +67,11 @@
         """Record the hint of a request and the time in ms of its response."""
         elapsed = max(elapsed, MIN_RESPONSE_TIME)
         typical = elapsed / self._hint_factor(hint)
-        self.typical += (typical - self.typical) * (TYPICAL_GAIN_UP if typical > self.typical else TYPICAL_GAIN_DOWN)
+        self.response_count += 1
+        gain = max(TYPICAL_GAIN, 1.0 / self.response_count)
+        if typical > self.typical and self.response_count > 1:
+            gain *= SLOWER_WEIGHT
+        self.typical += (typical - self.typical) * gain
         if _is_usable(hint):
             self._update_statistics(math.log(hint), math.log(elapsed))
 
--- a/starlingthread/policy/admission.py
+++ b/starlingthread/policy/admission.py
@@ -54,8 +54,8 @@
         self.trunk_reservation.observe(not concurrency.allows(in_flight))
         if not concurrency.allows(in_flight + reserved):
             return Rejection.SERVER_FULL
-        expected_time = load.expected_wait(now, server) + load.expected_service_time(state, server)
-        if expected_time > load.time_limit(now, state) and self.fleet.rng.random() > LATE_PROBE_SHARE:
+        is_late = load.is_late(now, state, server, load.expected_wait(now, server))
+        if is_late and self.fleet.rng.random() > LATE_PROBE_SHARE:
             return Rejection.TOO_LATE
         return None
 
--- a/starlingthread/policy/load_estimate.py
+++ b/starlingthread/policy/load_estimate.py
@@ -7,16 +7,14 @@
 from ..limits.machine_speed import MachineSpeeds
 from ..limits.origin_limit import OriginLimit
 from ..limits.origin_throttle import OriginThrottle
-from ..limits.service_time import ServiceTime
+from ..limits.service_times import ServiceTimes
 from ..limits.slow_start import ServedRate
 from ..state.fleet import Fleet
 from ..state.records import RequestState, Server
 
 FETCH_SHARE = 0.15  # of the latency objective: first estimate of an origin fetch's time
 LATE_FETCH = 0.9  # of the latency objective; a slower fetch is worth nothing: the origin is overloaded
-SERVICE_SHARE = 0.1  # of the latency objective: first estimate of a class's service time
 HALF_LIFE = 10000.0  # ms; half-life of counts: about as long as a cache keeps a value without requests
-MEAN_GAIN = 0.05  # weight of one request in the mean service time
 LIKELY = 0.5  # probability above which a hit is taken for granted
 FETCH_TIMEOUTS = 2.0  # typical fetch times after which an error is taken for the origin's
 FETCH_RESULTS = frozenset((AttemptResult.OK, AttemptResult.ERROR, AttemptResult.TIMEOUT))
@@ -33,19 +31,15 @@
         self.origin_limit = OriginLimit()
         classes = fleet.settings.classes
         self.origin_throttle = OriginThrottle(min(c.latency_objective for c in classes) * FETCH_SHARE)
-        self.service_times: dict[str, ServiceTime] = {}  # by class name
+        self.service_times = ServiceTimes(classes)
         self.apply_settings()
-        self.mean_service_time = self.service_times[classes[0].name].typical
         self.served_rate = ServedRate(HALF_LIFE)
 
     def apply_settings(self) -> None:
         """Apply changed settings; service times learned for a class stay with its name."""
         settings = self.fleet.settings
         self.wait_estimates.set_report_fields(settings.load_report_fields)
-        learned = self.service_times
-        self.service_times = {
-            c.name: learned.get(c.name) or ServiceTime(c.latency_objective * SERVICE_SHARE) for c in settings.classes
-        }
+        self.service_times.apply_classes(settings.classes)
 
     def speed(self, server: Server) -> float:
         """Return the speed of a server's kind of machine, relative to the fastest kind."""
@@ -55,6 +49,20 @@
         """Return the service time (ms) that a request should take at a server."""
         return state.expected_cost / self.machine_speeds.speed(server.endpoint.kind)
 
+    def time_without_wait(self, state: RequestState, server: Server, event: Outcome, expected_time: float) -> float:
+        """Return the part of a response's time (ms) that was no wait; expected_time: as expected when it was sent."""
+        name, hint, speed = state.request_class.name, state.request.cost_hint, self.speed(server)
+        return self.service_times.without_wait(name, hint, event.elapsed, expected_time, speed)
+
+    def is_late(self, now: float, state: RequestState, server: Server, wait: float) -> bool:
+        """Return whether a request that waits so long (ms) at a server would be late, as far as is known.
+
+        Until a class is settled only the wait counts: one slow first response must not make it look hopeless.
+        """
+        if self.service_times.is_settled(state.request_class.name):
+            wait += self.expected_service_time(state, server)
+        return wait > self.time_limit(now, state)
+
     def expected_wait(self, now: float, server: Server) -> float:
         """Return the wait (ms) that recent outcomes of a server show."""
         return self.wait_estimates.expected_wait(now, server.load)
@@ -62,15 +70,16 @@
     def queueing_delay(self, now: float, server: Server, expected_wait: float) -> float:
         """Return the delay (ms) by this router's attempts in flight, and by the other load that shows there."""
         own_delay = server.cost_in_flight / server.concurrency.slots(CORES)
-        return own_delay + max(self.wait_estimates.reported_wait(now, server.load), expected_wait)
+        reported_wait = self.wait_estimates.reported_queue(now, server.load) * self.service_times.mean
+        return own_delay + max(reported_wait, expected_wait)
 
     def time_limit(self, now: float, state: RequestState) -> float:
-        """Return the time (ms) within which an answer is of use; incident iddb886: full queues made all late."""
+        """Return the time (ms) within which an answer is of use."""
         return min(state.deadline - now, state.request_class.latency_objective)
 
     def relative_cost(self, state: RequestState) -> float:
         """Return a request's cost in requests of mean cost, at least 1."""
-        return max(1.0, state.expected_cost / self.mean_service_time)
+        return self.service_times.relative_cost(state.request_class.name, state.expected_cost)
 
     def fetch_probability(self, state: RequestState) -> float:
         """Return the probability that the server chosen last has to ask the origin."""
@@ -82,14 +91,16 @@
 
     def on_load_report(self, now: float, server: Server, report: tuple[float, ...]) -> None:
         """Learn from a server's load report; an empty one is ignored."""
-        self.wait_estimates.on_report(now, server.load, report, self.mean_service_time)
+        self.wait_estimates.on_report(now, server.load, report)
 
     def on_attempt_ended(
         self, now: float, state: RequestState, server: Server, event: Outcome, expected_time: float
     ) -> bool:
         """Learn the wait (ms) that an attempt met; return whether a fetch failed, so that nothing was stored."""
         result = event.result
-        wait = event.elapsed - (expected_time if result == AttemptResult.OK else 0.0)
+        wait = event.elapsed
+        if result == AttemptResult.OK:
+            wait -= self.time_without_wait(state, server, event, expected_time)
         fetch_failed = self._is_failed_fetch(state, result, wait)
         missed = fetch_failed or self._is_miss(state, event)
         reached_origin = self.fleet.read_through and (state.request.is_write or missed)
@@ -124,11 +135,10 @@
 
     def on_served(self, now: float, state: RequestState, server: Server, event: Outcome) -> None:
         """Learn the service time of a successful attempt."""
-        hint = state.request.cost_hint
-        if service_time := self.service_times.get(state.request_class.name):
-            if event.cache_status == CacheStatus.HIT:
-                relative_time = event.elapsed / service_time.expected(hint)
-                self.speed_version += self.machine_speeds.observe(server.endpoint.kind, relative_time)
-            service_time.observe(hint, event.elapsed * self.speed(server))
+        name, hint = state.request_class.name, state.request.cost_hint
+        service_time = self.service_times.get(name)
+        if service_time and service_time.is_learned and event.cache_status == CacheStatus.HIT:
+            relative_time = event.elapsed / service_time.expected(hint)
+            self.speed_version += self.machine_speeds.observe(server.endpoint.kind, relative_time)
+        self.service_times.observe(name, hint, event.elapsed * self.speed(server))
         self.served_rate.record(now)
-        self.mean_service_time += (state.expected_cost - self.mean_service_time) * MEAN_GAIN
--- a/starlingthread/policy/outcomes.py
+++ b/starlingthread/policy/outcomes.py
@@ -82,7 +82,7 @@
                 event,
                 attempt.in_flight_at_server,
                 attempt.fetch_probability,
-                attempt.expected_time,
+                load.time_without_wait(state, server, event, attempt.expected_time),
                 state.request_class.latency_objective,
                 load.origin_throttle.typical_fetch_time if has_responded else math.inf,
             )
--- a/starlingthread/policy/server_choice.py
+++ b/starlingthread/policy/server_choice.py
@@ -169,8 +169,7 @@
         wait = expected_wait
         if not server.concurrency.is_learned:
             wait = max(wait, server.cost_in_flight / CORES)
-        is_late = (
-            not server.concurrency.allows(server.attempts_in_flight)
-            or wait + self.load.expected_service_time(state, server) > time_limit
+        is_late = not server.concurrency.allows(server.attempts_in_flight) or self.load.is_late(
+            now, state, server, wait
         )
         return is_late, (self.load.queueing_delay(now, server, expected_wait) + cost) / affinity
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -25,7 +25,7 @@
     "origin_throttle",
     "outliers",
     "trunk_reservation",
-    "service_time",
+    "service_times",
     "shedding",
     "slow_start",
     "machine_speed",
--- a/tests/test_restart_evenness.py
+++ b/tests/test_restart_evenness.py
@@ -61,7 +61,20 @@
 
 
 def test_one_high_load_report_does_not_starve_a_server_after_a_restart() -> None:
-    """A report counts requests; they are turned into ms by a first guess that is eight times the service time here."""
+    """A report counts requests; they are turned into ms by a first guess that is eight times the service time here.
+
+    What happened: a router that had just started left a server alone for seconds after one high load report.
+    Why: the report was turned into ms when it came, by the first guess of the service time, and kept as ms. No request
+    went there, so no newer report came, and learning the service time changed nothing of what was kept.
+    What showed it: 0.05 to 0.4 of its share on 70 of 100 fresh seeds, on none without that report; the kept 480 ms
+    against costs of 15 to 75 ms. Now reports are kept as requests, and the first response replaces the guess.
+    """
     for seed in range(5):
         attempts = requests_by_server(seed)
         assert attempts[BUSY_SERVER - 1] > 0.4 * sum(attempts) / SERVERS, (seed, attempts)
+
+
+def test_a_high_load_report_starves_no_server_on_many_seeds() -> None:
+    for seed in range(1000, 1100):
+        attempts = requests_by_server(seed)
+        assert attempts[BUSY_SERVER - 1] > 0.4 * sum(attempts) / SERVERS, (seed, attempts)
