--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,8 +5,8 @@
     no test | command and seed that show it | what was seen | issue 12
 
 The first form is for a test that always fails. A run expects just these to fail and prints them; it fails if one
-passes. The second form is for a test that fails only at times, with how often in how many runs: it may pass or fail. The
-third is for a fault that no test holds yet; it is printed, and that is all. A run fails if a line has none of these
+passes. The second form is for a test that fails only at times, with how often in how many runs: it may pass or fail.
+The third is for a fault that no test holds yet; it is printed, and that is all. A run fails if a line has none of these
 forms, if two entries name the same test, or if a named test does not exist. With no such file nothing changes.
 """
 
