Let the load tool's clients hold at most a third of a router's descriptors

Need: the load tool opened a connection for each request that found none free, up to 12,000 a process.

Change: traffic.max_connections, by default a third of a router's descriptors; an attempt that finds none free waits for one, for as long as for one to open. A larger value plays a crowd beyond it.

--- a/starlingthread/experiment/scenario.py
+++ b/starlingthread/experiment/scenario.py
@@ -160,6 +160,7 @@
     value_bytes: Annotated[int, Meta(ge=1, le=1_000_000)] = 400
     write_bytes: Annotated[int, Meta(ge=0, le=65000)] = 40
     connections: Annotated[int, Meta(ge=1, le=20000)] = 60
+    max_connections: Annotated[int, Meta(ge=0)] = 0  # of all clients to one router; 0: a third of its descriptors
     retries: Annotated[int, Meta(ge=0, le=20)] = 2
     backoff_ms: Positive = 20.0
     honour: Share = 0.9  # of clients that honour Retry-After
@@ -177,6 +178,9 @@
         return max(spec.deadline_ms for spec in self.classes)
 
 
+CLIENT_DESCRIPTOR_SHARE = 1 / 3  # of a router's descriptors, that clients hold at most for requests
+
+
 class Rules(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """Tolerances of the judge."""
 
--- a/starlingthread/load/connection.py
+++ b/starlingthread/load/connection.py
@@ -101,9 +101,11 @@
 class ConnectionPool:
     """The open connections of one process of clients."""
 
-    def __init__(self, addresses: list[tuple[str, int]], listener: ConnectionListener) -> None:
+    def __init__(self, addresses: list[tuple[str, int]], listener: ConnectionListener, max_per_router: int) -> None:
         self.addresses = addresses
         self.open_count = 0
+        self._max_per_router = max_per_router
+        self._open_by_router = [0] * len(addresses)
         self._listener = listener
         self._idle: list[deque[ClientConnection]] = [deque() for _ in addresses]
 
@@ -112,18 +114,36 @@
         """Whether no further connection may be opened."""
         return self.open_count >= MAX_OPEN
 
+    def may_connect(self, router: int) -> bool:
+        """Return whether clients may open one more connection to a router."""
+        return self._open_by_router[router] < self._max_per_router
+
+    def has_idle(self, router: int) -> bool:
+        """Return whether a connection to a router is idle."""
+        return bool(self._idle[router])
+
     async def connect(self, router: int) -> ClientConnection | None:
         """Open a connection to a router; return None if it fails."""
-        self.open_count += 1
+        self._count_open(router, 1)
         loop = asyncio.get_running_loop()
         opening = loop.create_connection(lambda: ClientConnection(self._listener, router), *self.addresses[router])
         try:
             _, connection = await asyncio.wait_for(opening, CONNECT_TIMEOUT_S)
         except (OSError, TimeoutError):
-            self.open_count -= 1
+            self._count_open(router, -1)
             return None
         return connection
 
+    def on_closed(self, connection: ClientConnection) -> None:
+        """Forget a connection that has ended."""
+        self._count_open(connection.router, -1)
+        with contextlib.suppress(ValueError):
+            self._idle[connection.router].remove(connection)
+
+    def _count_open(self, router: int, change: int) -> None:
+        self.open_count += change
+        self._open_by_router[router] += change
+
     def take(self, router: int) -> ClientConnection | None:
         """Return the idle connection to a router that has waited longest, None if there is none."""
         idle = self._idle[router]
@@ -137,11 +157,6 @@
         """Put a connection back for the next request."""
         self._idle[connection.router].append(connection)
 
-    def remove_idle(self, connection: ClientConnection) -> None:
-        """Forget a connection that has ended, if it is idle."""
-        with contextlib.suppress(ValueError):
-            self._idle[connection.router].remove(connection)
-
     def close_idle(self) -> None:
         """Close the idle connections."""
         for idle in self._idle:
--- a/starlingthread/load/operations.py
+++ b/starlingthread/load/operations.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import time
+from collections import deque
 from collections.abc import Callable
 
 from ..experiment.randomness import UniformDraws
 from ..experiment.records import ClientAttempt, Ledger, Operation
-from ..experiment.scenario import RequestClass, Scenario
-from .connection import Answer, ClientConnection, ConnectionPool
+from ..experiment.scenario import CLIENT_DESCRIPTOR_SHARE, RequestClass, Scenario
+from .connection import CONNECT_TIMEOUT_S, Answer, ClientConnection, ConnectionPool
 from .front import NO_ROUTER, Front
 from .requests import MAX_QUOTED, encode_request, record_answer, request_id
 from .tasks import TaskSet
@@ -47,6 +48,23 @@
         return self.spec.effect == "by_key" and is_key_remembered
 
 
+class WaitingAttempt:
+    """An attempt that waits for a connection."""
+
+    __slots__ = ("attempt", "operation", "timer")
+
+    def __init__(self, operation: PendingOperation, attempt: ClientAttempt) -> None:
+        self.operation = operation
+        self.attempt = attempt
+        self.timer: asyncio.TimerHandle | None = None
+
+
+def _max_connections(scenario: Scenario) -> int:
+    """Return how many connections the clients of one process may have to one router."""
+    limit = scenario.traffic.max_connections or int(scenario.routers.sockets * CLIENT_DESCRIPTOR_SHARE)
+    return max(1, limit // scenario.machine.load_processes)
+
+
 class OperationRunner:
     """Carries out operations on connections to the routers."""
 
@@ -59,7 +77,8 @@
         ledger: Ledger,
         on_ended: Callable[[], None],
     ) -> None:
-        self.pool = ConnectionPool(addresses, self)
+        self.pool = ConnectionPool(addresses, self, _max_connections(scenario))
+        self._waiting: list[deque[WaitingAttempt]] = [deque() for _ in addresses]
         self.leave_share = scenario.traffic.leave  # share of requests whose client leaves before the answer
         self.exhausted_count = 0  # attempts for which no connection could be opened any more
         self._seed = scenario.seed
@@ -118,12 +137,37 @@
         elif self.pool.is_full:
             self.exhausted_count += 1
             self._finish_attempt(operation, attempt, "refused")
-        else:
+        elif self.pool.may_connect(attempt.router):
             self._tasks.start(self._connect_and_write(operation, attempt))
+        else:
+            self._wait_for_connection(operation, attempt)
+
+    def _wait_for_connection(self, operation: PendingOperation, attempt: ClientAttempt) -> None:
+        """Queue an attempt until another one gives a connection back, for no longer than for one to open."""
+        delay = min(CONNECT_TIMEOUT_S, (attempt.sent_at + attempt.budget_ms - now_ms()) / 1000.0)
+        waiting = WaitingAttempt(operation, attempt)
+        waiting.timer = self._loop.call_later(max(0.0, delay), self._stop_waiting, waiting)
+        self._waiting[attempt.router].append(waiting)
+
+    def _stop_waiting(self, waiting: WaitingAttempt) -> None:
+        self._waiting[waiting.attempt.router].remove(waiting)
+        self._finish_attempt(waiting.operation, waiting.attempt, "refused")
+
+    def _continue_waiting(self, router: int) -> None:
+        """Send the attempts that have waited longest for a connection, as far as there are some."""
+        queue = self._waiting[router]
+        while queue and (self.pool.has_idle(router) or self.pool.may_connect(router)):
+            waiting = queue.popleft()
+            if waiting.timer is not None:
+                waiting.timer.cancel()
+            self._send(waiting.operation, waiting.attempt)
+            if not self.pool.has_idle(router):
+                return  # a connection that is being opened counts as open a turn later only
 
     async def _connect_and_write(self, operation: PendingOperation, attempt: ClientAttempt) -> None:
         connection = await self.pool.connect(attempt.router)
         if connection is None or connection.is_closed:
+            self._loop.call_soon(self._continue_waiting, attempt.router)
             # Sent once before: then the router died with it, and it may have run.
             self._finish_attempt(operation, attempt, "eof" if operation.is_resent else "refused")
         else:
@@ -133,7 +177,7 @@
         now = now_ms()
         remaining = attempt.sent_at + attempt.budget_ms - now
         if remaining < MIN_SEND_BUDGET_MS:
-            self.pool.release(connection)
+            self._release(connection)
             self._finish_attempt(operation, attempt, "refused")
             return
         budget = int(remaining)
@@ -154,6 +198,10 @@
             outcome = "left"
         operation.timer = self._loop.call_later(listen_ms / 1000.0, self._give_up, operation, attempt, outcome)
 
+    def _release(self, connection: ClientConnection) -> None:
+        self.pool.release(connection)
+        self._continue_waiting(connection.router)
+
     # events of connections
 
     def on_answer(self, connection: ClientConnection, answer: Answer) -> None:
@@ -165,7 +213,7 @@
         if answer.surplus:
             connection.abort()
         elif not connection.is_closed:
-            self.pool.release(connection)
+            self._release(connection)
         self._finish_attempt(operation, attempt, attempt.outcome)
 
     def on_unsolicited(self, connection: ClientConnection, data: bytes) -> None:
@@ -178,17 +226,19 @@
 
     def on_closed(self, connection: ClientConnection) -> None:
         """Resend a request that crossed the router's close, else record the end of its connection."""
-        self.pool.open_count -= 1
+        self.pool.on_closed(connection)
         if connection not in self._in_flight:
-            self.pool.remove_idle(connection)
+            self._continue_waiting(connection.router)
             return
         operation = self._take_in_flight(connection)
         attempt = operation.attempts[-1]
         if connection.has_partial_answer:
             attempt.protocol_error = "stopped in the middle of an answer"
             self._finish_attempt(operation, attempt, "eof")
+            self._continue_waiting(connection.router)
         elif operation.is_resent:
             self._finish_attempt(operation, attempt, "eof")
+            self._continue_waiting(connection.router)
         else:
             # Our request crossed its close between requests: as nobody read it, it is sent once more, on a new one.
             operation.is_resent = True
