Add a soak: drawn mixes of restarts, signals, drains, faults, bad clients and crowds

Change: starlingthread soak draws each scenario from its seed and plays it by the testbed, its judge and its kinds of faults, four of them new (signals-router, silent-watches, discovery-slow, idle-clients). A failing seed prints rule, time and the command that plays it again, and keeps logs; growth of memory or descriptors is a finding, and a void run is not passed.

A watch whose router leaves at once no longer prints a traceback from the stand-in of discovery.

--- /dev/null
+++ b/starlingthread/analysis/soak_result.py
@@ -0,0 +1,98 @@
+"""What the soak keeps of each play."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+
+from ..experiment.scenario import Scenario
+from ..experiment.soak import restarted_routers
+from .growth import Growth, measure_growth
+from .results import Results
+
+MAX_FINDINGS = 10  # broken rules that are kept of a play
+
+
+class SoakResult(msgspec.Struct):
+    """The outcome of one seed."""
+
+    seed: int
+    length_s: float
+    faults: list[str]
+    goodput_share: float = 0.0
+    requests: int = 0
+    broken: dict[str, int] = {}  # broken rules
+    void: list[str] = []  # why the run proves nothing
+    findings: list[str] = []  # broken rules with their times, and growth
+    growth: list[Growth] = []
+    peak_memory_mb: float = 0.0
+    peak_descriptors: int = 0
+
+    @classmethod
+    def not_played(cls, scenario: Scenario, length_s: float, reason: str) -> SoakResult:
+        """Return the outcome of a seed for which the testbed failed."""
+        return cls(scenario.seed, length_s, _fault_labels(scenario), void=[reason], findings=[f"VOID: {reason}"])
+
+    @property
+    def is_void(self) -> bool:
+        """Whether the run proves nothing."""
+        return bool(self.void) and not self.broken
+
+    @property
+    def passed(self) -> bool:
+        """Whether the run counts, no rule was broken and no router grew."""
+        return not self.void and not self.findings
+
+    @property
+    def verdict(self) -> str:
+        """The verdict in a few words."""
+        if self.broken:
+            return ", ".join(f"{rule} {count}" for rule, count in self.broken.items())
+        if self.void:
+            return "void"
+        return "passed" if self.passed else "growth"
+
+    @property
+    def replay_command(self) -> str:
+        """The command that plays this seed again."""
+        return f"starlingthread soak --first-seed {self.seed} --seeds 1 --length {self.length_s:g} --logs soak-logs"
+
+    def summary(self) -> str:
+        """Return one line on this seed."""
+        return f"seed {self.seed}, {self.verdict}, goodput {self.goodput_share:.3f}, {', '.join(self.faults)}"
+
+
+def _fault_labels(scenario: Scenario) -> list[str]:
+    return [fault.label() for fault in scenario.faults]
+
+
+def summarize(results: Results, length_s: float) -> SoakResult:
+    """Return what is kept of a play."""
+    growth = measure_growth(results, restarted_routers(results.scenario))
+    verdict = results.verdict
+    findings = [f"VOID: {reason}" for reason in verdict.void]
+    findings += [
+        f"{v.rule} at {v.at_s} s, router {v.router}, request {v.request or '-'}: {v.text}"
+        for v in verdict.violations[:MAX_FINDINGS]
+    ]
+    findings += [f"growth of {g.router}: {g.memory_mb} MB, {g.descriptors} descriptors" for g in growth if g.is_finding]
+    return SoakResult(
+        seed=results.scenario.seed,
+        length_s=length_s,
+        goodput_share=results.goodput_share,
+        requests=results.requests,
+        faults=_fault_labels(results.scenario),
+        broken=verdict.counts,
+        void=verdict.void,
+        findings=findings,
+        growth=growth,
+        peak_memory_mb=max((router.peak_memory_mb for router in results.routers), default=0.0),
+        peak_descriptors=max((router.peak_descriptors for router in results.routers), default=0),
+    )
+
+
+def write(outcomes: list[SoakResult], path: Path) -> None:
+    """Write the outcomes as JSON."""
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(outcomes), indent=1))
--- a/starlingthread/cli/main.py
+++ b/starlingthread/cli/main.py
@@ -11,6 +11,7 @@
 from .demo import demo
 from .emulate import emulate
 from .serve import serve
+from .soak import soak
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 110})
@@ -42,5 +43,5 @@
     click.echo(completion_class(main, {}, "starlingthread", "_STARLINGTHREAD_COMPLETE").source())
 
 
-for command in (serve, check_config, bench, compare, emulate, demo):
+for command in (serve, check_config, bench, soak, compare, emulate, demo):
     main.add_command(command)
--- a/starlingthread/emulator/discovery_server.py
+++ b/starlingthread/emulator/discovery_server.py
@@ -70,6 +70,7 @@
         self._changed = asyncio.Event()
         self._removals: list[_Removal] = []
         self._watches: set[asyncio.Task[Any]] = set()
+        self._silent_watches: set[asyncio.Task[Any]] = set()  # open, and never written to again
         self._runner: web.AppRunner | None = None
 
     async def start(self) -> None:
@@ -129,6 +130,11 @@
             self.partitioned_routers -= routers
         self._wake_watches()
 
+    def silence_watches(self) -> None:
+        """Let the watches that are open now fall silent for good; they stay open."""
+        self._silent_watches |= self._watches
+        self._wake_watches()
+
     def snapshot(self, router: int = 0) -> dict[str, Any]:
         """Return the complete list in the form of the protocol, as one router sees it."""
         return self._endpoint_list(list(self.entries.values()), router, is_snapshot=True)
@@ -192,11 +198,11 @@
         """Stream changes after an index until the router leaves or discovery goes down."""
         response = web.StreamResponse(headers={"Content-Type": "application/json"})
         response.enable_chunked_encoding()
-        await response.prepare(request)
         task = asyncio.current_task()
         assert task is not None
         self._watches.add(task)
         try:
+            await response.prepare(request)
             await self._stream_changes(response, router, after)
         except asyncio.CancelledError:
             if request.transport is not None:
@@ -205,6 +211,7 @@
             pass
         finally:
             self._watches.discard(task)
+            self._silent_watches.discard(task)
         with contextlib.suppress(ConnectionError, RuntimeError):
             await response.write_eof()
         return response
@@ -213,7 +220,7 @@
         is_first = True
         while True:
             changed = self._changed
-            while router in self.partitioned_routers:
+            while router in self.partitioned_routers or asyncio.current_task() in self._silent_watches:
                 await self._changed.wait()
             if is_first or after < self.index:
                 is_snapshot = self._is_too_old(after)
--- a/starlingthread/emulator/fault_kinds.py
+++ b/starlingthread/emulator/fault_kinds.py
@@ -8,10 +8,14 @@
     DatagramLoss,
     DiscoveryOutage,
     DiscoveryPartition,
+    IdleClients,
     KilledRouters,
     LeavingClients,
     PeerPartition,
     RestartedRouters,
+    SignalledRouters,
+    SilentWatches,
+    SlowDiscovery,
     SlowOrigin,
     StoppedRouters,
 )
@@ -58,4 +62,8 @@
     "kill-router": KilledRouters(),
     "stop-router": StoppedRouters(),
     "restart-router": RestartedRouters(),
+    "signals-router": SignalledRouters(),
+    "silent-watches": SilentWatches(),
+    "discovery-slow": SlowDiscovery(),
+    "idle-clients": IdleClients(),
 }
--- a/starlingthread/emulator/platform_faults.py
+++ b/starlingthread/emulator/platform_faults.py
@@ -51,6 +51,23 @@
         injected.testbed.set_discovery_down(False)
 
 
+class SlowDiscovery(FaultAction):
+    """Each call to discovery takes longer."""
+
+    async def begin(self, injected: InjectedFault) -> None:
+        injected.testbed.delay_discovery(injected.fault.strength)
+
+    async def end(self, injected: InjectedFault) -> None:
+        injected.testbed.delay_discovery(0.0)
+
+
+class SilentWatches(FaultAction):
+    """The watches that are open at this moment fall silent for good; new ones work."""
+
+    async def begin(self, injected: InjectedFault) -> None:
+        injected.testbed.silence_watches()
+
+
 class SlowOrigin(FaultAction):
     """The origin is slower by a factor."""
 
@@ -72,6 +89,14 @@
         await injected.testbed.bad_clients(fault.strength, fault.length_s, self._half_commands)
 
 
+class IdleClients(FaultAction):
+    """A crowd of clients connects, says little or nothing and comes back when it is disconnected."""
+
+    async def begin(self, injected: InjectedFault) -> None:
+        fault = injected.fault
+        await injected.testbed.call_clients("idle_clients", int(fault.strength), fault.length_s)
+
+
 class LeavingClients(FaultAction):
     """A share of the clients closes its connection before the answer."""
 
@@ -113,3 +138,10 @@
 
     async def begin(self, injected: InjectedFault) -> None:
         await asyncio.gather(*(injected.testbed.restart_router(number) for number in injected.affected))
+
+
+class SignalledRouters(FaultAction):
+    """Routers get signals in series, are killed as early as allowed after SIGTERM, and get signals as they start."""
+
+    async def begin(self, injected: InjectedFault) -> None:
+        await asyncio.gather(*(injected.testbed.signal_and_restart_router(n) for n in injected.affected))
--- a/starlingthread/emulator/router_process.py
+++ b/starlingthread/emulator/router_process.py
@@ -11,11 +11,12 @@
 import sys
 import time
 from pathlib import Path
+from signal import Signals
 from typing import IO, Any
 
 import psutil
 
-from ..experiment.records import Ledger, RouterEvent, RouterSample
+from ..experiment.records import KILLED_AFTER_TERM, Ledger, RouterEvent, RouterSample
 from ..experiment.scenario import Scenario
 from .load_oracle import ORACLE_FILE_VARIABLE
 from .port_allocation import PortStripe, free_port
@@ -23,6 +24,7 @@
 
 ORACLE_FILE = "truth"
 OPTIONS_FILE = "options.toml"
+_SIGNAL_PERIOD_S = 0.005
 _READY_TIMEOUT_S = 30.0
 _READY_CHECK_TIMEOUT_S = 1.0
 _READY_CHECK_PERIOD_S = 0.02
@@ -182,13 +184,20 @@
         if self.pid and self.process is not None:
             self.process.send_signal(number)
 
-    async def kill(self) -> None:
-        """Kill the process with SIGKILL."""
+    async def send_signals(self, numbers: tuple[Signals, ...], delay_s: float = 0.0) -> None:
+        """Send signals in quick succession after a delay, as far as the process still runs."""
+        await asyncio.sleep(delay_s)
+        for number in numbers:
+            self.signal(number)
+            await asyncio.sleep(_SIGNAL_PERIOD_S)
+
+    async def kill(self, event: str = "killed") -> None:
+        """Kill the process with SIGKILL, and record it as an event of this kind."""
         if self.pid and self.process is not None:
             self.expected_to_end = True
             self.signal(signal.SIGKILL)
             await self.process.wait()
-            self.record_event("killed")
+            self.record_event(event)
         self._close_log()
 
     async def terminate(self, timeout_s: float) -> int:
@@ -201,7 +210,7 @@
         try:
             exit_code = await asyncio.wait_for(self.process.wait(), timeout_s)
         except TimeoutError:
-            await self.kill()
+            await self.kill(KILLED_AFTER_TERM)
             return -signal.SIGKILL
         self.record_event("exited", exit_code)
         self._close_log()
--- a/starlingthread/emulator/testbed_interface.py
+++ b/starlingthread/emulator/testbed_interface.py
@@ -32,6 +32,12 @@
     def partition_discovery(self, routers: set[int], is_partitioned: bool, /) -> None:
         """Partition routers from discovery, or end that."""
 
+    def delay_discovery(self, delay_ms: float, /) -> None:
+        """Let each call to discovery take so much longer."""
+
+    def silence_watches(self) -> None:
+        """Let the watches that are open now fall silent for good."""
+
     def partition_peers(self, routers: set[int], is_partitioned: bool, /) -> None:
         """Partition routers from their peers, so that datagrams reach only one another, or end that."""
 
@@ -56,6 +62,9 @@
     async def restart_router(self, number: int) -> None:
         """Shut a router down gracefully and start its successor."""
 
+    async def signal_and_restart_router(self, number: int) -> None:
+        """Send a router signals in series, the last SIGTERM, kill it as early as allowed and start its successor."""
+
     def signal_router(self, number: int, which: signal.Signals, /) -> None:
         """Send a signal to a router."""
 
--- a/starlingthread/experiment/scenario.py
+++ b/starlingthread/experiment/scenario.py
@@ -47,6 +47,10 @@
     "link-broken",
     "discovery-cut",
     "peers-cut",
+    "signals-router",
+    "silent-watches",
+    "discovery-slow",
+    "idle-clients",
 ]
 
 # The router's own choice of servers, or one of baselines/policies.py.
--- a/starlingthread/experiment/validation.py
+++ b/starlingthread/experiment/validation.py
@@ -57,6 +57,8 @@
     "link-slow": StrengthRange(0.0, 60000.0, "ms more, each way"),
     "link-lossy": StrengthRange(0.0, 1.0, "share of what is sent that is lost at first"),
     "link-broken": StrengthRange(0.0, 1.0, "share of answers in which the connection ends"),
+    "discovery-slow": StrengthRange(0.0, 60000.0, "ms that a call takes more"),
+    "idle-clients": StrengthRange(1.0, 4000.0, "connections to each router"),
     "replace": StrengthRange(0.0, 60000.0, "ms until the new server answers at the same address"),
 }
 
--- a/starlingthread/load/generator.py
+++ b/starlingthread/load/generator.py
@@ -11,6 +11,7 @@
 from ..experiment.scenario import Scenario
 from .bad_clients import BadClients
 from .front import Front
+from .idle_clients import IdleClients
 from .operations import OperationRunner, PendingOperation, now_ms
 from .traffic import Arrivals
 
@@ -38,6 +39,7 @@
         chances = UniformDraws(rng)
         self.runner = OperationRunner(scenario, routers, self.front, chances, ledger, self._operation_ended)
         self.bad_clients = BadClients(self.front, self.runner.pool, chances)
+        self.idle_clients = IdleClients(routers, chances)
         self.done = asyncio.Event()
         self._scenario = scenario
         self._worker = worker
@@ -78,6 +80,7 @@
         """Cancel what is in progress and close the connections."""
         self.runner.stop()
         self.bad_clients.stop()
+        self.idle_clients.stop()
 
     @property
     def _is_exhausted(self) -> bool:
--- a/starlingthread/testbed/client_worker.py
+++ b/starlingthread/testbed/client_worker.py
@@ -30,6 +30,7 @@
             "front": self.set_router_alive,
             "leave": self.set_leave_share,
             "bad_clients": self.start_bad_clients,
+            "idle_clients": self.start_idle_clients,
         }
 
     async def set_up(self, scenario: dict[str, Any], routers: list[tuple[str, int]]) -> None:
@@ -61,6 +62,11 @@
         """Start clients that send garbage, or half commands, for a while."""
         self.load.bad_clients.start(per_second, seconds, half)
 
+    async def start_idle_clients(self, connections: int, seconds: float) -> None:
+        """Start this process's part of a crowd that holds so many connections to each router."""
+        processes = self.scenario.machine.load_processes
+        self.load.idle_clients.start(-(-connections // processes), seconds)
+
     async def collect(self) -> bytes:
         """Return the encoded ledger; the clients stop."""
         self.ledger.bad_client_outcomes = dict(self.load.bad_clients.outcomes)
--- a/starlingthread/testbed/platform.py
+++ b/starlingthread/testbed/platform.py
@@ -31,6 +31,14 @@
 
 ROUTER_STOP_TIMEOUT_S = 8.0  # for a router to end after SIGTERM
 ORACLE_POLICY = "truth"
+SIGNALS_BEFORE_TERM = (signal.SIGHUP, signal.SIGHUP, signal.SIGUSR1)
+SIGNALS_DURING_SHUTDOWN = (signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM)
+SIGNALS_DURING_START = (signal.SIGHUP, signal.SIGUSR1, signal.SIGHUP)
+SHUTDOWN_SIGNAL_DELAY_S = 0.1
+START_SIGNAL_DELAY_S = 0.05
+# SIGKILL comes at the earliest after the longest deadline, at most MAX_TERM_DEADLINE_MS of it, and TERM_TO_KILL_S.
+MAX_TERM_DEADLINE_MS = 3000.0
+TERM_TO_KILL_S = 0.7
 
 _Address = tuple[str, int]
 
@@ -211,6 +219,14 @@
         """Partition routers from discovery, or end that."""
         self.discovery.partition(routers, is_partitioned)
 
+    def delay_discovery(self, delay_ms: float) -> None:
+        """Let each call to discovery take so much longer."""
+        self.discovery.request_delay_ms = self.scenario.discovery.call_ms + delay_ms
+
+    def silence_watches(self) -> None:
+        """Let the watches that are open now fall silent for good."""
+        self.discovery.silence_watches()
+
     def partition_peers(self, routers: set[int], is_partitioned: bool) -> None:
         """Partition routers from their peers, or end that."""
         if is_partitioned:
@@ -266,6 +282,21 @@
         await self.routers[number].terminate(max(ROUTER_STOP_TIMEOUT_S, max_deadline_s + 1.0))
         await self.start_router(number)
 
+    async def signal_and_restart_router(self, number: int) -> None:
+        """Send a router signals in series, the last SIGTERM, kill it as early as allowed and start its successor.
+
+        Clients go on using their connections until it has ended, and find it closed to new ones meanwhile.
+        """
+        router = self.routers[number]
+        await router.send_signals(SIGNALS_BEFORE_TERM)
+        longest_s = min(self.scenario.traffic.max_deadline_ms(), MAX_TERM_DEADLINE_MS) / 1000.0
+        signalling = asyncio.create_task(router.send_signals(SIGNALS_DURING_SHUTDOWN, delay_s=SHUTDOWN_SIGNAL_DELAY_S))
+        await router.terminate(longest_s + TERM_TO_KILL_S)
+        await signalling
+        starting = asyncio.create_task(self.start_router(number))
+        await router.send_signals(SIGNALS_DURING_START, delay_s=START_SIGNAL_DELAY_S)
+        await starting
+
     def signal_router(self, number: int, which: signal.Signals) -> None:
         """Stop a router with SIGSTOP, or continue it."""
         router = self.routers[number]
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -59,6 +59,15 @@
     def slow_origin(self, factor: float) -> None:
         self.actions.append(("slow origin", factor))
 
+    def delay_discovery(self, delay_ms: float) -> None:
+        self.actions.append(("delay discovery", delay_ms))
+
+    def silence_watches(self) -> None:
+        self.actions.append(("silence watches",))
+
+    async def signal_and_restart_router(self, number: int) -> None:
+        self.actions.append(("signals-router", number))
+
     async def kill_router(self, number: int) -> None:
         self.actions.append(("kill", number))
 
@@ -114,6 +123,10 @@
     "link-lossy": [("link", 1, "loss_rate=0.5"), ("link", 1, "loss_rate=0")],
     "link-broken": [("link", 1, "truncation_rate=0.5"), ("link", 1, "truncation_rate=0")],
     "discovery-cut": [("partition discovery", 1, True), ("partition discovery", 1, False)],
+    "signals-router": [("signals-router", 1)],
+    "silent-watches": [("silence watches",)],
+    "discovery-slow": [("delay discovery", 2.0), ("delay discovery", 0.0)],
+    "idle-clients": [("idle_clients", 2, 0.001)],
     "peers-cut": [("partition peers", 1, True), ("partition peers", 1, False)],
 }
 
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,91 @@
+"""The soak: what a seed draws, what is kept of a play, and a few seeds with real processes."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from starlingthread.analysis.evidence import UNANSWERED_BEFORE_KILL_MS, RunEvidence
+from starlingthread.analysis.growth import Growth
+from starlingthread.analysis.rules.answers import check_answer_time
+from starlingthread.analysis.soak_result import SoakResult
+from starlingthread.analysis.verdict import Violation
+from starlingthread.experiment.records import KILLED_AFTER_TERM, ClientAttempt, Ledger, RouterEvent
+from starlingthread.experiment.soak import MIN_DRAIN_S, QUIET_END_S, draw, restarted_routers
+from starlingthread.experiment.validation import validate
+
+CI_SEEDS = ("--first-seed", "101", "--seeds", "4")
+
+
+def test_a_seed_draws_the_same_valid_scenario_each_time() -> None:
+    for seed in range(200):
+        scenario = draw(seed, 14.0)
+        assert scenario == draw(seed, 14.0)
+        validate(scenario, f"seed {seed}")
+        assert "signals-router" in {fault.kind for fault in scenario.faults}
+        assert len(restarted_routers(scenario)) < scenario.routers.count
+        drains = [fault for fault in scenario.faults if fault.kind == "shrink"]
+        assert all(fault.length_s >= MIN_DRAIN_S for fault in drains)
+        assert len({fault.servers for fault in drains}) == len(drains)
+        ends = [fault.start_s + fault.length_s for fault in scenario.faults]
+        assert max(ends) <= scenario.length_s - QUIET_END_S + 1.0
+
+
+def test_seeds_differ_and_draw_every_kind_of_fault() -> None:
+    drawn = [{fault.kind for fault in draw(seed, 14.0).faults} for seed in range(200)]
+    assert len({frozenset(kinds) for kinds in drawn}) > 100
+    expected = {"shrink", "kill-router", "silent-watches", "discovery-down", "discovery-slow", "link-cut", "silent"}
+    expected |= {"idle-clients", "garbage-clients", "half-commands", "reset", "restart-router", "leaving-clients"}
+    assert expected <= set.union(*({str(kind) for kind in kinds} for kinds in drawn))
+
+
+def unanswered(sent_before_kill_ms: float) -> list[object]:
+    """Judge a request without an answer that was sent some ms before a SIGKILL that SIGTERM announced."""
+    killed_at = 10000.0
+    sent_at = killed_at - sent_before_kill_ms
+    ledger = Ledger()
+    ledger.attempts.append(ClientAttempt("a", 1, 0, 7, 0, sent_at, 3000.0, outcome="none"))
+    ledger.router_events.append(RouterEvent(0, KILLED_AFTER_TERM, killed_at))
+    return list(check_answer_time(RunEvidence(draw(1, 14.0), ledger)))
+
+
+def test_a_request_before_an_announced_kill_is_owed_its_answer() -> None:
+    assert isinstance(unanswered(UNANSWERED_BEFORE_KILL_MS + 1.0)[0], Violation)
+    assert not isinstance(unanswered(UNANSWERED_BEFORE_KILL_MS - 1.0)[0], Violation)
+
+
+@pytest.mark.parametrize(
+    ("memory_mb", "descriptors", "is_finding"),
+    [((30.0, 33.0), (50.0, 60.0), False), ((30.0, 43.0), (50.0, 50.0), True), ((30.0, 30.0), (50.0, 100.0), True)],
+)
+def test_growth_beyond_noise_is_a_finding(
+    memory_mb: tuple[float, float], descriptors: tuple[float, float], is_finding: bool
+) -> None:
+    assert Growth("r0", memory_mb, descriptors).is_finding == is_finding
+
+
+def test_a_play_that_failed_for_the_testbed_is_void_and_not_passed() -> None:
+    outcome = SoakResult.not_played(draw(5, 14.0), 14.0, "a port was taken")
+    assert outcome.is_void and not outcome.passed and outcome.verdict == "void"
+    assert "--first-seed 5 --seeds 1 --length 14" in outcome.replay_command
+
+
+def test_a_few_seeds_with_real_processes(tmp_path: Path) -> None:
+    """Restarts, signals, drains, faults, bad clients and crowds together break no rule and leave nothing behind."""
+    summary = tmp_path / "soak.json"
+    command = [sys.executable, "-c", "from starlingthread.cli.main import main; main()", "soak", *CI_SEEDS]
+    played = subprocess.run(
+        [*command, "--json", str(summary), "--logs", str(tmp_path / "logs")],
+        check=False,
+        capture_output=True,
+        text=True,
+        timeout=300,
+    )
+    assert played.returncode == 0, played.stdout + played.stderr
+    outcomes = msgspec.json.decode(summary.read_bytes(), type=list[SoakResult])
+    assert len(outcomes) == 4 and all(outcome.passed and outcome.requests > 0 for outcome in outcomes)
+    assert any(outcome.growth for outcome in outcomes)
