Rule out by a test that saved tokens of hundreds of routers overload a server in slow start

Measured: 200 and 400 routers save for 6, 12 and 18 s while nobody asks for the server's keys, then each asks for ten keys at once. A router earns tokens by what it serves itself, so few have one at a time.

--- a/tests/test_slow_start_fleet.py
+++ b/tests/test_slow_start_fleet.py
@@ -221,3 +221,33 @@
     excess, sent = play_slow_start(routers, servers, load, seed)
     assert excess < 0.0
     assert sent > servers // 3  # they do get something
+
+
+def greatest_excess_of_a_late_burst(routers: int, seed: int, quiet_ms: float) -> tuple[float, int]:
+    """Let all routers save up tokens for a server in slow start, then have all of them ask for many keys at once.
+
+    Return the greatest excess over the budget, and the number of requests that the server got.
+    """
+    fleet = Fleet(routers, 30, 0.8, seed)
+    fleet.play(4000.0)
+    restarted = [fleet.endpoints[0].server]
+    restarted_at = fleet.now
+    fleet.start_slow_start(restarted)
+    all_keys, fleet.keys = fleet.keys, [1] * KEYS  # nobody asks for what belongs to the server
+    fleet.play(quiet_ms)
+    fleet.keys = all_keys
+    for index in range(routers):
+        for _ in range(10):
+            key = fleet.rng.randrange(KEYS) + 1
+            request = Request(next(fleet.ids), 0, DEADLINE, key=key * KEY_MULTIPLIER % 2**64)
+            fleet._carry_out(index, fleet.routers[index], fleet.routers[index].handle(fleet.now, request))
+    fleet.play(1000.0)
+    return greatest_excess(fleet, restarted, restarted_at), sum(server in restarted for _, server in fleet.sends)
+
+
+@pytest.mark.parametrize("quiet_ms", [6000.0, 12000.0, 18000.0])
+@pytest.mark.parametrize("routers", [200, 400])
+def test_tokens_saved_up_by_hundreds_of_routers_do_not_add_up_to_an_overload(routers: int, quiet_ms: float) -> None:
+    """By reckoning each router may save one token; it earns it by what it serves itself, so few have one at a time."""
+    excess, _ = greatest_excess_of_a_late_burst(routers, 1, quiet_ms)
+    assert excess < 0.0
