Give the order of eviction a module of its own, and reword comments that told incidents

Change: net/clients/eviction.py ranks and picks connections to evict, the listener closes them. During the drain of the accept queue a paused listener rejects what is queued. No other change of behaviour.

--- a/starlingthread/net/clients/listener.py
+++ b/starlingthread/net/clients/listener.py
@@ -18,7 +18,7 @@
 from .acceptor import Acceptor, SocketCounts
 from .connection import ClientConnectionActor
 from .context import PausedConnection
-from .idle import SILENT_CLASSES, EvictionClass, EvictionRank
+from .eviction import EvictionOrder, ranked_connections
 from .limits import DISCONNECT_CHECK_INTERVAL_MS, READ_BYTES
 from .overflow import OverflowRejector
 
@@ -28,8 +28,6 @@
 LISTEN_BACKLOG = 1024  # connections that the system may queue for us
 CLOSING_SHARE = 1 / 16  # of the clients' descriptors, for connections that are being closed for new ones
 ROOM_CHECK_INTERVAL_MS = 20.0  # between checks whether a connection may be evicted for one that is queued
-RANKING_LIFE_MS = 5.0  # for which the order of eviction is used, as ranking all connections takes a while
-CROWD_SHARE = 0.25  # of the clients' connections; where more are silent, new ones may be evicted before they are silent
 MAX_FINAL_ACCEPT_ROUNDS = 1000  # checks for queued connections before the listening socket is closed
 QUIET_ACCEPT_ROUNDS = 2  # turns of the loop without any after which those accepted have become connections
 DRAIN_CHECK_INTERVAL_S = 0.05  # between checks for connections that are still open while draining
@@ -78,8 +76,7 @@
         self._server: Acceptor | None = None
         self.sockets = SocketCounts()
         self._overflow = OverflowRejector(self)
-        self._ranking: list[tuple[EvictionRank, ClientConnectionActor]] = []  # the first to go at the end
-        self._ranked_at = -math.inf  # clock time
+        self._eviction: EvictionOrder[ClientConnectionActor] = EvictionOrder()
         self._room_check: Deadline | None = None
         self._paused: set[PausedConnection] = set()  # whose ends have to be polled for
 
@@ -143,16 +140,13 @@
         self._room_check = None
         if self._server is None or not self._server.is_paused:
             return
-        if self._is_any_evictable() or self.sockets.open < self._max_connections:
+        can_evict = self._eviction.has_candidates(self.connections, self.clock.now(), self.max_clients)
+        if can_evict or self.sockets.open < self._max_connections:
             self._server.resume()
             return
         self._reject_queued(self._server)
         self._schedule_room_check()
 
-    def _is_any_evictable(self) -> bool:
-        self._rank_for_eviction(self.clock.now())
-        return bool(self._ranking)
-
     def _reject_queued(self, server: Acceptor) -> None:
         max_held = self.max_clients - (self.sockets.open - self._overflow.held_count)
         self._overflow.run_round(server, max_held)
@@ -206,7 +200,7 @@
         Guards against clients that keep a connection each for good: active ones would find none left, and
         we would not learn of it.
         """
-        ranked = sorted(self._ranked_for_eviction(now), key=lambda pair: pair[0])
+        ranked = ranked_connections(self.connections, now)
         for rank, actor in ranked[: max(0, len(self.connections) - self.idle_client_threshold)]:
             if now - rank.since >= MIN_IDLE_BEFORE_SHEDDING_MS:
                 self._evict(actor)
@@ -216,31 +210,11 @@
 
         Clients that open connections and send nothing lose them to those that send commands.
         """
-        now = self.clock.now()
-        if now - self._ranked_at > RANKING_LIFE_MS or not self._ranking:
-            self._rank_for_eviction(now)
-        while self._ranking:
-            _, actor = self._ranking.pop()
-            if actor in self.connections and actor.eviction_rank(now) is not None:
-                self._evict(actor)
-                return True
-        return False
-
-    def _rank_for_eviction(self, now: float) -> None:
-        """Put the connections that may be evicted in order.
-
-        A new connection may be evicted only beside a crowd of silent ones: when descriptors are held by requests, each
-        of the queued clients is as new as the one that would be closed for it.
-        """
-        ranked = sorted(self._ranked_for_eviction(now), key=lambda pair: pair[0], reverse=True)
-        silent = sum(rank.eviction_class in SILENT_CLASSES for rank, _ in ranked)
-        if silent <= CROWD_SHARE * self.max_clients:
-            ranked = [pair for pair in ranked if pair[0].eviction_class != EvictionClass.NEW]
-        self._ranking = ranked
-        self._ranked_at = now
-
-    def _ranked_for_eviction(self, now: float) -> list[tuple[EvictionRank, ClientConnectionActor]]:
-        return [(rank, actor) for actor in self.connections if (rank := actor.eviction_rank(now)) is not None]
+        candidate = self._eviction.next_candidate(self.connections, self.clock.now(), self.max_clients)
+        if candidate is None:
+            return False
+        self._evict(candidate)
+        return True
 
     def _evict(self, actor: ClientConnectionActor) -> None:
         self.counters.increment("clients.evicted")
@@ -278,4 +252,5 @@
             quiet_rounds = 0 if queued.poll(0) else quiet_rounds + 1
             if quiet_rounds > QUIET_ACCEPT_ROUNDS:
                 return
+            self._check_room()
             await asyncio.sleep(0)
--- a/starlingthread/net/meta/answers.py
+++ b/starlingthread/net/meta/answers.py
@@ -153,7 +153,7 @@
     def feed(self, data: bytes) -> Iterator[ServerAnswer | ValueChunk]:
         """Take in some bytes; yield what is complete. After OTHER the connection is of no more use, nor the rest.
 
-        Guards against a line that never ends: it was reported for ever, as nothing was taken from the buffer.
+        Guards against a line that never ends: nothing is taken from the buffer, so it would be reported for ever.
         """
         if self._failed:
             return
--- a/tests/test_descriptors_past_capacity.py
+++ b/tests/test_descriptors_past_capacity.py
@@ -143,7 +143,6 @@
             new = await harness.client()
             assert not listener._evict_one() and harness.find_actor(new) is not None
             listener.max_clients = 2
-            listener._ranking.clear()
             assert listener._evict_one()
 
     asyncio.run(play())
