--- a/starlingthread/limits/limit_adjustment.py
+++ b/starlingthread/limits/limit_adjustment.py
@@ -24,8 +24,8 @@
     in_flight: the attempt's number among those in flight at the server; fetch_probability: that it had to fetch from
     the origin, as estimated when it was sent; expected_time: as estimated then; latency_objective: of its class;
     typical_fetch_time: infinite if the server has been silent since. An attempt that failed faster than a fetch never
-    reached the origin, and the silence of a server says nothing about the origin. Counted as failed fetches, a few servers
-    that fail at once or a lost zone would make all routers reject fetches.
+    reached the origin, and the silence of a server says nothing about the origin. Counted as failed fetches, a few
+    servers that fail at once, or a lost zone, would make all routers reject fetches.
     """
     result = event.result
     if result == AttemptResult.FULL:
--- a/starlingthread/limits/slow_start.py
+++ b/starlingthread/limits/slow_start.py
@@ -32,8 +32,9 @@
 
     capacity: of the server now, and total_capacity: of all servers, both in warm servers of the fastest kind;
     served_rate: requests per ms of this router that are served. The rate of *incoming* requests says nothing of the
-    capacity: rejected clients retry, so a budget by that rate would grow just when all servers are full. The minimum is one
-    request per window from all routers together, as otherwise nothing is served while all servers are warming up.
+    capacity: rejected clients retry, so a budget by that rate would grow just when all servers are full. The
+    minimum is one request per window from all routers together, as otherwise nothing is served while all servers are
+    warming up.
     """
     minimum = 0.0
     if settings.overload_window > 0:
