--- a/tests/test_load_evenness_process.py
+++ b/tests/test_load_evenness_process.py
@@ -114,8 +114,6 @@
     )
     assert not module_run.verdict.counts and module_run.goodput_share > 0.85
     assert max(load_shares) < 2.0, load_shares
-    # The load of a server from routers that have just started is tested with a seed in test_restart_evenness.py:
-    # here it depended on how many requests a server reported in flight in that moment, and so on the machine's load.
     assert min(load_shares) > 0.4, load_shares
 
 
