--- a/starlingthread/analysis/evidence.py
+++ b/starlingthread/analysis/evidence.py
@@ -24,6 +24,7 @@
 
 IN_SERVICE = "in_service"
 
+ACCEPTED_AFTER_TERM_MS = 500.0  # for which a router goes on as before, until it closes what rests
 # Before a SIGKILL that SIGTERM announced, in which a router need not answer any more: it ends a bit earlier by itself.
 UNANSWERED_BEFORE_KILL_MS = 200.0
 
@@ -55,6 +56,7 @@
         self.deliveries = _deliveries_by_request(ledger)
         self.operations = _attempts_by_operation(ledger)
         self._absences = _absences(ledger)
+        self._shutdowns = _shutdowns(ledger)
         self._out_of_service = _out_of_service_periods(scenario, ledger)
 
     def class_of(self, attempt: ClientAttempt) -> RequestClass:
@@ -78,6 +80,16 @@
             for absence in self._absences.get(router, ())
         )
 
+    def was_shutting_down(self, attempt: ClientAttempt) -> bool:
+        """Return whether a request was sent while its router closed its connections: it may have crossed the close.
+
+        For some time after SIGTERM a router accepts connections and serves as before.
+        """
+        return any(
+            period.began_at + ACCEPTED_AFTER_TERM_MS - self.tolerance_ms <= attempt.sent_at <= period.ended_at
+            for period in self._shutdowns.get(attempt.router, ())
+        )
+
     def were_servers_silent(self, began_at: float, ended_at: float) -> bool:
         """Return whether a fault silenced servers in a period: what is sent to them then has no delivery record."""
         return any(
@@ -158,6 +170,18 @@
     return Period(first.at, ended_at, was_announced=first.kind == KILLED_AFTER_TERM)
 
 
+def _shutdowns(ledger: Ledger) -> dict[int, list[Period]]:
+    """Return when each router was shutting down, from SIGTERM to its end."""
+    periods: dict[int, list[Period]] = defaultdict(list)
+    began: dict[int, float] = {}
+    for event in sorted(ledger.router_events, key=lambda e: e.at):
+        if event.kind == "terminating":
+            began[event.router] = event.at
+        elif event.kind in ("exited", KILLED_AFTER_TERM) and event.router in began:
+            periods[event.router].append(Period(began.pop(event.router), event.at))
+    return dict(periods)
+
+
 def _out_of_service_periods(scenario: Scenario, ledger: Ledger) -> dict[tuple[int, int], list[Period]]:
     """Return for each router and server when the router knew, or at the latest should have known, it is out."""
     changes: dict[tuple[int, int], list[_StatusChange]] = defaultdict(list)
--- a/starlingthread/analysis/rules/answers.py
+++ b/starlingthread/analysis/rules/answers.py
@@ -30,6 +30,8 @@
 def _unanswered(run: RunEvidence, attempt: ClientAttempt, latest: float) -> Finding:
     if run.was_absent(attempt.router, attempt.sent_at, latest):
         return Note("unanswered by a dead or stopped router")
+    if attempt.outcome == "eof" and not run.deliveries_of(attempt) and run.was_shutting_down(attempt):
+        return Note("crossed the close of a router that was shutting down")
     symptom = "no answer" if attempt.outcome == "none" else "the router closed without an answer"
     text = f"{symptom} to a request with d={attempt.budget_ms:g}"
     return violation_by(run, Rule.LOST, attempt, attempt.sent_at, text)
--- a/starlingthread/load/operations.py
+++ b/starlingthread/load/operations.py
@@ -166,8 +166,6 @@
 
     async def _connect_and_write(self, operation: PendingOperation, attempt: ClientAttempt) -> None:
         connection = await self.pool.connect(attempt.router)
-        if operation.is_resent:
-            connection = connection or await self._connect_elsewhere(attempt)
         if connection is None or connection.is_closed:
             self._loop.call_soon(self._continue_waiting, attempt.router)
             # Sent once before: then the router died with it, and it may have run.
@@ -175,18 +173,6 @@
         else:
             self._write(connection, operation, attempt)
 
-    async def _connect_elsewhere(self, attempt: ClientAttempt) -> ClientConnection | None:
-        """Connect to another router for a request that crossed the close of its connection; None if none is there.
-
-        A router that shuts down closes its connections, and may be closed to new ones by now.
-        """
-        for _ in range(len(self.pool.addresses) - 1):
-            attempt.router = self._front.next_router(attempt.router)
-            connection = await self.pool.connect(attempt.router) if attempt.router != NO_ROUTER else None
-            if connection is not None:
-                return connection
-        return None
-
     def _write(self, connection: ClientConnection, operation: PendingOperation, attempt: ClientAttempt) -> None:
         now = now_ms()
         remaining = attempt.sent_at + attempt.budget_ms - now
--- a/tests/test_judge_rules.py
+++ b/tests/test_judge_rules.py
@@ -107,3 +107,26 @@
     ledger.attempts = [ClientAttempt("a", 0, 0, 1, router, 4990.0, 3200.0, outcome="failed", answered_at=8187.0)]
     ledger.faults = [FaultRecord("cut", "link-cut", began_at, 9000.0, "servers 0", (0,), (1,), way)]
     assert (not judge(scenario, ledger).counts) == excused
+
+
+@pytest.mark.parametrize(
+    ("sent_after_term", "delivered", "outcome", "excused"),
+    [
+        (600.0, False, "eof", True),
+        (600.0, True, "eof", False),  # it was read and forwarded
+        (600.0, False, "none", False),  # it was not closed but left without an answer
+        (200.0, False, "eof", False),  # connections stay open then
+        (1200.0, False, "eof", False),  # the router had ended
+    ],
+)
+def test_a_request_may_cross_the_close_of_a_resting_connection_at_the_shutdown(
+    sent_after_term: float, delivered: bool, outcome: str, excused: bool
+) -> None:
+    """Soak, seed 1: two requests after SIGTERM; the router's counters show that it answered all that it had read."""
+    scenario, ledger = _scenario_and_ledger("repeatable")
+    sent_at = 5000.0 + sent_after_term
+    ledger.attempts = [ClientAttempt("a", 0, 0, 1, 0, sent_at, 3000.0, outcome=outcome)]
+    ledger.router_events = [RouterEvent(0, "terminating", 5000.0), RouterEvent(0, "exited", 6000.0)]
+    if delivered:
+        ledger.deliveries = [Delivery("a", 3, sent_at, sent_at, RUN, CUT, 6000.0)]
+    assert ("lost" not in judge(scenario, ledger).counts) == excused
