Send the soak's signals during a start only once the shell has become the router

The signals came 50 ms after the start, when a busy machine had not let the shell run its trap yet, so SIGHUP ended the shell.

Change: the testbed waits until the process is no longer the shell.

--- a/starlingthread/emulator/router_process.py
+++ b/starlingthread/emulator/router_process.py
@@ -25,6 +25,8 @@
 ORACLE_FILE = "truth"
 OPTIONS_FILE = "options.toml"
 _SIGNAL_PERIOD_S = 0.005
+_SHELL = "sh"
+_MAX_SHELL_CHECKS = 2000
 _READY_TIMEOUT_S = 30.0
 _READY_CHECK_TIMEOUT_S = 1.0
 _READY_CHECK_PERIOD_S = 0.02
@@ -184,6 +186,17 @@
         if self.pid and self.process is not None:
             self.process.send_signal(number)
 
+    async def until_program_runs(self) -> None:
+        """Wait until the shell that starts the router, if there is one, has become the router's program.
+
+        Only from then on it is sure to have been told which signals to ignore.
+        """
+        with contextlib.suppress(psutil.Error):
+            for _ in range(_MAX_SHELL_CHECKS):
+                if not self.pid or self._monitored is None or self._monitored.name() != _SHELL:
+                    return
+                await asyncio.sleep(_SIGNAL_PERIOD_S)
+
     async def send_signals(self, numbers: tuple[Signals, ...], delay_s: float = 0.0) -> None:
         """Send signals in quick succession after a delay, as far as the process still runs."""
         await asyncio.sleep(delay_s)
--- a/starlingthread/testbed/platform.py
+++ b/starlingthread/testbed/platform.py
@@ -294,7 +294,9 @@
         await router.terminate(longest_s + TERM_TO_KILL_S)
         await signalling
         starting = asyncio.create_task(self.start_router(number))
-        await router.send_signals(SIGNALS_DURING_START, delay_s=START_SIGNAL_DELAY_S)
+        await asyncio.sleep(START_SIGNAL_DELAY_S)
+        await router.until_program_runs()
+        await router.send_signals(SIGNALS_DURING_START)
         await starting
 
     def signal_router(self, number: int, which: signal.Signals) -> None:
