--- a/starlingthread/experiment/soak.py
+++ b/starlingthread/experiment/soak.py
@@ -15,6 +15,7 @@
 DESCRIPTOR_LIMITS = (192, 256, 512)
 # Ignores the signals that arrive before the program's first line, as the deploy file does.
 ROUTER_COMMAND = ("/bin/sh", "-c", f"trap '' HUP USR1; exec {sys.executable} -m starlingthread")
+CROWD_SHARE = 0.6  # of a router's descriptors: more connections than clients may hold
 RESTARTING_KINDS = frozenset(("restart-router", "signals-router", "kill-router"))
 
 
@@ -57,7 +58,7 @@
             discovery=discovery,
             datagrams=Datagrams(),
             traffic=traffic,
-            machine=Machine(),
+            machine=Machine(load_processes=2),
             faults=tuple(sorted(self._faults, key=lambda fault: fault.start_s)),
         )
 
@@ -112,7 +113,7 @@
         if self._chance(0.3):
             self._add("leaving-clients", self._start(), rng.uniform(0.5, 2.0), rng.uniform(0.05, 0.5))
         if self._chance(0.3):
-            self._add("idle-clients", self._start(), rng.uniform(1.5, 4.0), float(self._descriptors))
+            self._add("idle-clients", self._start(), rng.uniform(1.5, 4.0), CROWD_SHARE * self._descriptors)
 
     def _add_leave(self, kind: FaultKind, start_s: float, length_s: float) -> None:
         """Add a fault in which a server goes and comes back, while there is one left for it."""
--- a/starlingthread/load/idle_clients.py
+++ b/starlingthread/load/idle_clients.py
@@ -10,7 +10,7 @@
 from .tasks import TaskSet
 
 SPEAKING_SHARE = 0.5  # of the connections, on which one command is sent
-RETURN_DELAY_S = 0.3  # after which a client that was disconnected comes back
+RETURN_DELAY_S = 1.0  # after which a client that was disconnected comes back
 READ_BYTES = 4096
 
 
