Log where requests' time goes while the core is saturated, and see a core that others use

Also, the CPU counted as saturated by the CPU time of this process alone: on a core that other processes use it looked idle while its loop never was.

Change: a line `cpu-saturated` for each second with a saturated quarter: CPU and loop idle time, turns, how long requests were queued, how much of their deadlines was left when they were taken up, and what the counters of clients grew by. The event loop adds up the time for which it is blocked in the selector; a loop that is idle for under a tenth of the time is saturated too. What concerns the core moves from core/router.py to core/core_load.py.

--- a/starlingthread/__main__.py
+++ b/starlingthread/__main__.py
@@ -9,6 +9,7 @@
 
 from . import options as options_file
 from .config import Config, ConfigError, read_config
+from .core.event_loop import MeteredEventLoop
 from .handover.channel import InheritedSockets, request_handover
 from .logs import LogWriter, log, one_line
 from .net.discovery import EndpointListError
@@ -34,7 +35,8 @@
         return await RouterProcess(config, log_writer, inherited, options, early_signals).run()
 
     try:
-        return asyncio.run(serve())
+        with asyncio.Runner(loop_factory=MeteredEventLoop) as runner:
+            return runner.run(serve())
     except (OSError, EndpointListError) as error:
         return _fail(error)
     finally:
--- a/starlingthread/core/router.py
+++ b/starlingthread/core/router.py
@@ -36,8 +36,8 @@
 from ..policy import Balancer
 from ..settings import Settings
 from .clock import Clock
+from .core_load import CoreLoad
 from .counters import Counters
-from .cpu_monitor import CpuMonitor
 from .deadline_timer import DeadlineTimer
 from .deadlines import Deadlines
 from .mailbox import Mailbox
@@ -62,7 +62,6 @@
 OVERDUE_GRACE = 15.0  # ms past a request's deadline after which we answer in place of the module
 MAILBOX_LIMIT = 20000  # messages; beyond it new requests are rejected unseen
 MAX_ERRORS_LOGGED = 50
-CPU_SAMPLE_INTERVAL = 250.0  # ms
 
 
 class Router:
@@ -78,7 +77,6 @@
         self.mailbox: Mailbox[Message] = Mailbox(MAILBOX_LIMIT)
         self.discovery_reached = asyncio.Event()  # a list has come from discovery itself, not from the configuration
         self.listed = False  # a list with at least one server has reached the module
-        self.cores = 1.0  # CPU share that this process may use
         self.fleet: CacheServers
         self.discovery: Discovery
         self.peers: Peers
@@ -87,15 +85,14 @@
         self.attempts = self._table.attempts
         self._class_indexes = _class_indexes(settings)
         self._timer = DeadlineTimer(clock, deadlines, self.mailbox.wake)
-        self._cpu = CpuMonitor()
-        self._cpu_saturated = False
+        self.core_load = CoreLoad(clock, deadlines, counters)
 
     # turns
 
     def begin(self) -> None:
         """Start the decision module."""
         self._execute(self.balancer.start(self.clock.now()))
-        self._sample_cpu()
+        self.core_load.sample_cpu()
 
     async def run(self) -> None:
         """Take turns for ever, each time that a message has come or a deadline has expired."""
@@ -107,15 +104,11 @@
 
     def turn(self) -> None:
         """Take one turn. Messages go first, so that after a pause no waiting answer loses to its deadline."""
+        self.core_load.on_turn(len(self.requests))
         for message in self.mailbox.take():
             self._process(message)
         self.deadlines.sweep(self.clock.now())
 
-    def _sample_cpu(self) -> None:
-        now = self.clock.now()
-        self._cpu_saturated = self._cpu.sample(now, self.cores)
-        self.deadlines.set(now + CPU_SAMPLE_INTERVAL, self._sample_cpu)
-
     def _process(self, message: Message) -> None:
         match message:
             case RequestReceived():
@@ -202,18 +195,18 @@
             self._table.finish(request, Failed())
             return
         self._set_request_deadline(request)
+        budget = min(request.deadline - now, request.request_class.deadline)
         event = Request(
             request.id,
             class_index,
-            min(request.deadline - now, request.request_class.deadline),
+            budget,
             request.key,
             cost_hint=request.cost_hint,
             size=request.size,
             single_use=request.body is not None,
             is_retry=request.is_retry,
             is_write=request.is_write,
-            # On a core with spare capacity a short wait is no sign of overload.
-            queue_time=now - request.received_at if self._cpu_saturated else 0.0,
+            queue_time=self.core_load.queue_time(now - request.received_at, budget / request.request_class.deadline),
         )
         self._decide(event, now)
 
--- a/starlingthread/router_process/actors.py
+++ b/starlingthread/router_process/actors.py
@@ -25,7 +25,7 @@
         settings = config.settings
         router_index = settings.router_index
         self.router = Router(settings, config.seed, Clock(), Deadlines(), counters)
-        self.router.cores = config.cores
+        self.router.core_load.cores = config.cores
         self.fleet = ServerFleet(settings, self.router, supervisor, 0, config.idle_timeout)
         parser = EndpointListParser(config.zones, config.server_kinds)
         self.discovery = DiscoveryActor(
--- a/starlingthread/router_process/process.py
+++ b/starlingthread/router_process/process.py
@@ -10,6 +10,7 @@
 
 from ..config import Config
 from ..core.counters import Counters
+from ..core.event_loop import MeteredEventLoop
 from ..core.task_supervisor import TaskSupervisor
 from ..handover.actor import Handover
 from ..handover.channel import InheritedSockets
@@ -71,6 +72,9 @@
 
     async def run(self) -> int:
         """Serve until a signal or the failure of an actor, shut down, and return the exit code."""
+        loop = asyncio.get_running_loop()
+        if isinstance(loop, MeteredEventLoop):
+            self.actors.router.core_load.cpu.idle_seconds = loop.idle_seconds
         self._install_signal_handlers()
         await self._start()
         await self.stop_requested.wait()
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -195,7 +195,7 @@
     queue_times: list[float] = []
     used = 0.0  # s of CPU time
     monkeypatch.setattr(time, "process_time", lambda: used)
-    harness.router.cores = 0.4
+    harness.router.core_load.cores = 0.4
     harness.router.begin()
     for share in (0.3, 0.39, 0.3):
         used += share * 0.25
