Keep idle connections for 500 ms while the core is saturated, as their clients wait for it

Cause: connections that were idle for 100 ms were evicted for queued ones, and connections held without a command closed after 100 ms. On a saturated core clients send later than that, as they wait for the same core and machine. Their requests crossed the close, and the new connections found a full accept queue.

Change: both wait for 500 ms while the core is saturated.

--- a/starlingthread/net/clients/connection.py
+++ b/starlingthread/net/clients/connection.py
@@ -112,7 +112,7 @@
 
     def eviction_rank(self, now: float) -> EvictionRank | None:
         """Return the place in the order of eviction when descriptors run out; None if the connection must stay."""
-        return eviction_rank(self.state, bool(self.responses.slots), now)
+        return eviction_rank(self.state, bool(self.responses.slots), self.listener.router.core_load.is_saturated, now)
 
     def evict(self) -> None:
         """Close, as the descriptor is needed for another client; a partial command is answered."""
--- a/starlingthread/net/clients/idle.py
+++ b/starlingthread/net/clients/idle.py
@@ -9,6 +9,7 @@
 from .limits import SHORT_IDLE_TIMEOUT_MS, SILENT_CONNECTION_MS, STALLED_COMMAND_MS
 
 MIN_IDLE_MS = 100.0  # since the last response; a client that keeps its connection sends its next command by then
+MIN_IDLE_SATURATED_MS = 500.0  # the same while our core is saturated, as clients that wait for us send later
 
 
 class EvictionClass(IntEnum):
@@ -33,7 +34,9 @@
     since: float  # clock time
 
 
-def eviction_rank(state: ConnectionState, owes_responses: bool, now: float) -> EvictionRank | None:
+def eviction_rank(
+    state: ConnectionState, owes_responses: bool, is_core_saturated: bool, now: float
+) -> EvictionRank | None:
     """Return a connection's rank in the order of eviction; None if it must stay."""
     if state.lingering:
         return EvictionRank(EvictionClass.LINGERING, state.last_used_at)
@@ -42,7 +45,7 @@
     if state.partial_since is not None:
         return EvictionRank(_class_of_partial_command(now - state.partial_since), state.partial_since)
     idle_ms = now - state.last_used_at
-    if state.commands and idle_ms < MIN_IDLE_MS:
+    if state.commands and idle_ms < (MIN_IDLE_SATURATED_MS if is_core_saturated else MIN_IDLE_MS):
         return None  # its client may be about to send the next command
     if not state.commands:
         eviction_class = EvictionClass.SILENT if idle_ms >= SILENT_CONNECTION_MS else EvictionClass.NEW
--- a/starlingthread/net/clients/overflow.py
+++ b/starlingthread/net/clients/overflow.py
@@ -22,6 +22,7 @@
 CPU_SHARE = 0.1  # of the time, at most, for rejecting
 MAX_HOLD_MS = 1000.0  # for which a connection without a whole command, or with unread commands, is kept
 MIN_HOLD_MS = 100.0  # the same where another connection needs the place
+MIN_HOLD_SATURATED_MS = 500.0  # that while our core is saturated, as clients that wait for us send later
 
 
 @dataclass(slots=True, eq=False)
@@ -96,7 +97,8 @@
 
     def _make_room(self, acceptor: Acceptor, max_held: int) -> None:
         """Close the connections held for longest, for others that are queued."""
-        held_since = self._listener.clock.now() - MIN_HOLD_MS
+        min_hold = MIN_HOLD_SATURATED_MS if self._listener.router.core_load.is_saturated else MIN_HOLD_MS
+        held_since = self._listener.clock.now() - min_hold
         while len(self._held) >= max(1, max_held) and self._held[0].accepted_at < held_since:
             self._close(self._held.popleft(), acceptor)
 
--- a/tests/test_descriptors_past_capacity.py
+++ b/tests/test_descriptors_past_capacity.py
@@ -21,6 +21,8 @@
 from starlingthread.core.counters import Counters
 from starlingthread.core.task_supervisor import TaskSupervisor
 from starlingthread.net.clients.acceptor import RETRY_DELAY_S, Acceptor, SocketCounts
+from starlingthread.net.clients.context import ConnectionState
+from starlingthread.net.clients.idle import MIN_IDLE_MS, MIN_IDLE_SATURATED_MS, eviction_rank
 from starlingthread.net.clients.listener import ClientListener
 
 from .peers import Peer, RouterHarness, connect, read_command, running_router, step, until, value_answer
@@ -39,6 +41,16 @@
     return clients, servers
 
 
+@pytest.mark.parametrize(("is_core_saturated", "may_go"), [(False, True), (True, False)])
+def test_an_idle_connection_is_kept_longer_while_its_client_waits_for_a_saturated_core(
+    is_core_saturated: bool, may_go: bool
+) -> None:
+    """Guards against requests that cross the close of their connection, and whose new one finds no place."""
+    state = ConnectionState(last_used_at=0.0, commands=1)
+    assert (eviction_rank(state, False, is_core_saturated, 2 * MIN_IDLE_MS) is not None) == may_go
+    assert eviction_rank(state, False, is_core_saturated, MIN_IDLE_SATURATED_MS) is not None
+
+
 def clients_of(harness: RouterHarness) -> ClientListener:
     return harness.program.actors.clients
 
