Shed what the router's own core can't carry, as it is read and the oldest first

Cause: no limit followed the router's own core. All connections of clients carried a request, so clients waited up to 3 s for one, while in the router requests were queued for 6 to 10 ms a turn, below the 15 ms from which load was shed.

The freshest are served (share of the deadline left), Retry-After grows with the overload's length. Hedges stop with it.

Why it works: clients' queue for connections drains only if answers come faster than requests and retries.

--- a/starlingthread/core/overload_log.py
+++ b/starlingthread/core/overload_log.py
@@ -10,6 +10,7 @@
 # Counters whose growth in the second is logged.
 LOGGED_COUNTERS = (
     "requests.received",
+    "requests.shed",
     "answers.served",
     "answers.rejected",
     "clients.accepted",
--- a/starlingthread/core/router.py
+++ b/starlingthread/core/router.py
@@ -85,7 +85,7 @@
         self.attempts = self._table.attempts
         self._class_indexes = _class_indexes(settings)
         self._timer = DeadlineTimer(clock, deadlines, self.mailbox.wake)
-        self.core_load = CoreLoad(clock, deadlines, counters)
+        self.core_load = CoreLoad(self.balancer, clock, deadlines, counters, self.telemetry)
 
     # turns
 
--- a/starlingthread/net/clients/connection.py
+++ b/starlingthread/net/clients/connection.py
@@ -12,6 +12,7 @@
 from .reader import ClientReader
 from .requests import ClientRequests
 from .responses import ResponseQueue
+from .shedding import EarlyRejector
 from .writer import ResponseWriter
 
 
@@ -34,6 +35,9 @@
         self._command_reader = ClientReader(
             listener, self.state, self.requests, self.responses, reader, writer, self.on_disconnect
         )
+        self.early_rejector = EarlyRejector(
+            listener, self.state, self.responses, self._command_reader, writer.transport
+        )
         self._response_writer = ResponseWriter(listener, self.state, writer)
         self._on_closed = on_closed
 
--- a/starlingthread/net/clients/context.py
+++ b/starlingthread/net/clients/context.py
@@ -55,5 +55,6 @@
     framing_lost: bool = False  # where the client's next command begins is unknown
     evicted: bool = False  # the descriptor is wanted: close without lingering
     lingering: bool = False  # our end of file is sent; what still arrives is discarded
+    has_queue_place: bool = False  # the command that is read next may be queued for the router's core
     commands: int = 0  # complete commands so far
     malformed: int = 0  # malformed commands so far
--- a/starlingthread/net/clients/listener.py
+++ b/starlingthread/net/clients/listener.py
@@ -164,6 +164,7 @@
         protocol = writer.transport.get_protocol()
         if isinstance(protocol, DisconnectAwareProtocol):
             protocol.on_disconnect = actor.on_disconnect
+            protocol.consume = actor.early_rejector.consume
         self.supervisor.start(actor.run(), "client", lambda _: actor.close())
 
     # disconnects
--- a/starlingthread/net/clients/reader.py
+++ b/starlingthread/net/clients/reader.py
@@ -17,7 +17,17 @@
 class ClientReader:
     """Reads commands from a client's stream and hands them to its requests."""
 
-    __slots__ = ("_listener", "_on_disconnect", "_parser", "_requests", "_responses", "_state", "_stream", "_writer")
+    __slots__ = (
+        "_listener",
+        "_on_disconnect",
+        "_parser",
+        "_requests",
+        "_responses",
+        "_state",
+        "_stream",
+        "_writer",
+        "processed_bytes",
+    )
 
     def __init__(
         self,
@@ -37,6 +47,7 @@
         self._writer = writer
         self._on_disconnect = on_disconnect
         self._parser = meta.CommandParser()
+        self.processed_bytes = 0
 
     async def run(self) -> None:
         """Read until the client closes or framing is lost."""
@@ -61,6 +72,7 @@
                 self._requests.accept(item)
                 if state.framing_lost:
                     break
+            self.processed_bytes += len(data)
             self._update_partial_since()
             incoming = self._requests.incoming
             if incoming is not None and incoming.pipe.is_full():
--- a/starlingthread/net/clients/requests.py
+++ b/starlingthread/net/clients/requests.py
@@ -84,6 +84,13 @@
             listener.counters.increment("clients.duplicate_id")
             self._respond_malformed(slot, meta.client_error("id in use"))
             return
+        has_queue_place = self._state.has_queue_place or command.is_chunked
+        self._state.has_queue_place = False
+        if not has_queue_place and (
+            rejection := listener.router.core_load.shed(self._state.last_used_at, request_class, command.timeout_ms)
+        ):
+            self._responses.put(slot, meta.busy_line(rejection.retry_after))
+            return
         listener.open_ids.add(command.request_id)
         body = Pipe(listener.budget) if command.is_chunked else None
         request = self._create_request(command, request_class, body)
--- /dev/null
+++ b/starlingthread/net/clients/shedding.py
@@ -0,0 +1,73 @@
+"""Rejecting a read on an idle connection before it takes a turn of any actor, while the router's core is overloaded.
+
+A rejection has to cost far less than a request: else the rejections of an overload take the core themselves.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from .. import meta
+from .context import ConnectionState, ListenerContext
+from .reader import ClientReader
+from .responses import ResponseQueue
+
+
+class EarlyRejector:
+    """Looks at the data of one connection before its reader does."""
+
+    __slots__ = ("_listener", "_passed_bytes", "_reader", "_responses", "_state", "_transport")
+
+    def __init__(
+        self,
+        listener: ListenerContext,
+        state: ConnectionState,
+        responses: ResponseQueue,
+        reader: ClientReader,
+        transport: asyncio.WriteTransport,
+    ) -> None:
+        self._listener = listener
+        self._state = state
+        self._responses = responses
+        self._reader = reader
+        self._transport = transport
+        self._passed_bytes = 0  # left to the reader
+
+    def consume(self, data: bytes) -> bool:
+        """Reject what has just been received, if it is one whole read that can't be queued; return whether it was.
+
+        Everything else is left to the reader.
+        """
+        if self._listener.router.core_load.is_shedding and self._is_idle() and self._reject(data):
+            return True
+        self._passed_bytes += len(data)
+        return False
+
+    def _reject(self, data: bytes) -> bool:
+        listener = self._listener
+        read = meta.parse_plain_read(data)
+        if read is None or read.request_id in listener.open_ids:
+            return False
+        request_class = listener.classes.get(read.class_name)
+        if request_class is None:
+            return False
+        now = listener.clock.now()
+        rejection = listener.router.core_load.shed(now, request_class, read.timeout_ms)
+        if rejection is None:
+            self._state.has_queue_place = True
+            return False
+        self._state.last_used_at = now
+        self._state.commands += 1
+        self._transport.write(meta.busy_line(rejection.retry_after))
+        return True
+
+    def _is_idle(self) -> bool:
+        """Return whether nothing is owed, unread or unsent on the connection, and it is not being closed."""
+        state = self._state
+        if state.closing or state.disconnected or state.framing_lost or state.evicted or state.lingering:
+            return False
+        if self._responses.slots or self._listener.draining or state.partial_since is not None:
+            return False
+        if self._reader.processed_bytes != self._passed_bytes:
+            return False
+        return not self._transport.get_write_buffer_size()
--- a/starlingthread/net/meta/__init__.py
+++ b/starlingthread/net/meta/__init__.py
@@ -6,7 +6,16 @@
 
 from .answers import AnswerKind, AnswerParser, ServerAnswer
 from .buffer import MAX_HEAD_BYTES, MAX_UNCHUNKED_BYTES, MAX_VALUE_BYTES, ValueChunk
-from .commands import NUMBER, Command, CommandParser, ControlCommand, MalformedCommand, client_error, forward_command
+from .commands import (
+    NUMBER,
+    Command,
+    CommandParser,
+    ControlCommand,
+    MalformedCommand,
+    client_error,
+    forward_command,
+    parse_plain_read,
+)
 from .responses import ERROR_LINE, FAILED_LINE, READY_LINE, STARTING_LINE, busy_line
 
 __all__ = [
@@ -29,4 +38,5 @@
     "busy_line",
     "client_error",
     "forward_command",
+    "parse_plain_read",
 ]
--- a/starlingthread/net/meta/commands.py
+++ b/starlingthread/net/meta/commands.py
@@ -18,6 +18,10 @@
 _SET_LENGTH = re.compile(rb"ms [!-~]+ (\d{1,9})(?: |$)")
 _ID_FLAG = re.compile(rb" O([!-~]{1,64})(?= |$)")
 _FIELDS_FLAG = re.compile(rb" P([!-~]+)(?= |$)")
+# The form of most reads: the class comes first and the timeout second, and neither is there twice.
+_PLAIN_READ = re.compile(
+    rb"mg [!-~]{1,250} v O([!-~]{1,64}) Pc=([!-+\--~]+),d=(\d{1,9}(?:\.\d{1,9})?)(?:,(?![cd]=)[!-+\--~]*)*\r\n"
+)
 _TIMEOUT_FIELD = re.compile(rb"(?:^|,)d=(\d{1,9}(?:\.\d{1,9})?)(?=,|$)")
 
 
@@ -95,6 +99,26 @@
     return Command(head, key, ids[0], float(timeout.group(1)), span, fields, None)
 
 
+class PlainRead(NamedTuple):
+    """What a rejection needs to know of an mg."""
+
+    request_id: bytes
+    class_name: str
+    timeout_ms: float
+
+
+def parse_plain_read(data: bytes) -> PlainRead | None:
+    """Return the read if the data are one whole mg of the plainest form and nothing else, None otherwise.
+
+    It costs a fraction of :class:`CommandParser`, which takes in all forms.
+    """
+    match = _PLAIN_READ.fullmatch(data)
+    if match is None or len(data) > MAX_HEAD_BYTES:
+        return None
+    request_id, class_name, timeout = match.groups()
+    return PlainRead(request_id, class_name.decode("ascii"), float(timeout))
+
+
 class CommandParser:
     """An incremental parser of what a client sends."""
 
--- a/starlingthread/net/streams.py
+++ b/starlingthread/net/streams.py
@@ -46,6 +46,12 @@
     def __init__(self, on_connected: Callable[[asyncio.StreamReader, asyncio.StreamWriter], None], limit: int) -> None:
         super().__init__(asyncio.StreamReader(limit=limit), on_connected)
         self.on_disconnect: Callable[[], None] = lambda: None
+        self.consume: Callable[[bytes], bool] | None = None  # returns whether it has dealt with what was received
+
+    def data_received(self, data: bytes) -> None:
+        """Hand data to the stream's reader, unless they are dealt with already."""
+        if self.consume is None or not self.consume(data):
+            super().data_received(data)
 
     def eof_received(self) -> bool | None:
         """Handle an end of file; return whether the transport stays open."""
--- a/starlingthread/policy/hedging.py
+++ b/starlingthread/policy/hedging.py
@@ -34,7 +34,7 @@
         self.affinity = choice.affinity
         self.fleet = choice.fleet
         self.load = choice.load
-        self.shedder = admission.shedder
+        self.admission = admission
         self.budget = HedgeBudget()
         self._checks: list[HedgeCheck] = []  # a heap
         self._timer_at = math.inf  # when the next check is due for which a timer is set
@@ -94,7 +94,7 @@
     def _is_worthwhile(self, now: float, state: RequestState, server: Server, attempt: AttemptRecord) -> bool:
         load = self.load
         draw = self.fleet.rng.random()
-        if self.shedder.share:
+        if self.admission.is_core_overloaded:
             return False
         if load.wait_estimates.mean_wait > MAX_MEAN_WAIT * state.request_class.latency_objective:
             return False
--- a/tests/test_core_overload.py
+++ b/tests/test_core_overload.py
@@ -1,12 +1,28 @@
-"""An overloaded core: how it is noticed."""
+"""An overloaded core: requests beyond what it can carry in time are shed as they are read, the oldest first."""
 
 from __future__ import annotations
 
+import asyncio
 import time
+from pathlib import Path
 
 import pytest
 
 from starlingthread.core.cpu_monitor import CpuMonitor
+from starlingthread.limits.queue_limit import INTERVAL, PATIENCE, TARGET_QUEUE_TIME, QueueLimit
+
+from .peers import read_command, running_router, until, value_answer
+from .world import IDEMPOTENCY_KEY, READ, THROUGH, World
+
+LONG_WAIT = 4 * TARGET_QUEUE_TIME
+
+
+def observe(limit: QueueLimit, begin: float, length: float, wait: float, queued: int = 100) -> float:
+    """Let requests wait for a while; return the time at its end."""
+    for at in range(0, int(length), 10):
+        limit.allows(queued, 1.0)
+        limit.observe(begin + at, wait)
+    return begin + length
 
 
 def test_a_core_that_others_use_is_saturated_though_this_process_uses_little_of_it(
@@ -20,3 +36,80 @@
     assert monitor.sample(1250.0, 1.0)
     idle += 0.2
     assert not monitor.sample(1500.0, 1.0)
+
+
+def test_a_burst_and_short_waits_set_no_limit() -> None:
+    limit = QueueLimit()
+    now = observe(limit, 0.0, 5000.0, TARGET_QUEUE_TIME)
+    now = observe(limit, now, PATIENCE - 2 * INTERVAL, LONG_WAIT)
+    observe(limit, now, 1000.0, 0.0)
+    assert not limit.is_limited and limit.allows(10**6, 0.01)
+
+
+def test_a_standing_queue_is_limited_and_the_limit_lifted_once_waits_are_short() -> None:
+    """Guards against requests that all wait until they are late, as the router rejects nothing."""
+    limit = QueueLimit()
+    now = observe(limit, 0.0, PATIENCE + 2 * INTERVAL, LONG_WAIT)
+    assert limit.is_limited and not limit.allows(100, 1.0) and limit.allows(0, 1.0)
+    observe(limit, now, 10000.0, 0.0)
+    assert not limit.is_limited
+
+
+def overloaded_world() -> World:
+    world = World(THROUGH._replace(max_retry_after=2000.0))
+    world.balancer.admission.queue_limit.limit = 8.0
+    world.balancer.admission.queue_limit.limited_since = world.now
+    return world
+
+
+def test_the_freshest_and_the_weightiest_requests_are_queued_first() -> None:
+    """Guards against a core whose work all goes to requests that clients have waited for too long."""
+    world = overloaded_world()
+    read, keyed = THROUGH.classes[READ], THROUGH.classes[IDEMPOTENCY_KEY]
+    shed = world.balancer.shed_retry_after
+    assert shed(world.now, read, read.deadline, 7) is None
+    assert shed(world.now, read, read.deadline, 8) is not None
+    assert shed(world.now, read, read.deadline * 0.5, 0) is not None
+    assert shed(world.now, keyed, keyed.deadline, 30) is None
+
+
+def test_the_retry_after_of_an_overload_grows_with_its_length_and_is_spread() -> None:
+    world = overloaded_world()
+    read = THROUGH.classes[READ]
+
+    def advice(overloaded_for: float) -> list[float]:
+        now = world.now + overloaded_for
+        return [world.balancer.shed_retry_after(now, read, read.deadline, 100) or 0.0 for _ in range(50)]
+
+    short, long = advice(0.0), advice(5000.0)
+    assert 50.0 <= min(short) < max(short) <= 150.0 and len(set(short)) > 25
+    assert 500.0 <= min(long) < max(long) <= 1500.0
+
+
+def test_a_read_is_rejected_before_it_takes_a_turn_and_all_else_is_left_to_the_reader(tmp_path: Path) -> None:
+    """Guards against rejections that cost a third of a request and so take the core themselves."""
+
+    async def play() -> None:
+        async with running_router(tmp_path) as harness:
+            limit = harness.router.balancer.admission.queue_limit
+            limit.limit, limit.limited_since = 0.5, 0.0
+            client = await harness.client()
+            await client.send(read_command(1))
+            assert (await client.until(b"\r\n")).startswith(b"SERVER_ERROR busy")
+            assert harness.actor_of(client).state.commands == 1
+            await client.send(read_command(2)[:10])  # amid a command the next bytes are no read of their own
+            await until(lambda: harness.actor_of(client).state.partial_since is not None)
+            await client.send(read_command(2)[10:] + b"mn\r\n")
+            assert (await client.until(b"MN\r\n")).startswith(b"SERVER_ERROR busy")
+            await client.send(read_command(3).replace(b"c=read", b"c=what"))
+            assert await client.until(b"\r\n") == b"CLIENT_ERROR unknown class\r\n"
+            assert harness.counters["requests.shed"] == harness.counters["answers.rejected"] == 2
+            assert harness.counters["requests.received"] == 0
+            limit.limit = 100.0
+            await client.send(read_command(4))
+            server = await harness.server.accept()
+            await server.until(b"\r\n")
+            await server.send(value_answer(4))
+            assert await client.until(b"x\r\n") == b"VA 1 O4\r\nx\r\n"
+
+    asyncio.run(play())
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -26,6 +26,7 @@
     "outliers",
     "trunk_reservation",
     "service_times",
+    "queue_limit",
     "shedding",
     "slow_start",
     "machine_speed",
