End the testbed's routers and workers with a bench or soak that is killed

What was seen: routers of a killed soak went on running and idled beside later plays, taking their CPU.

Cause: a router knows nothing of the testbed, and a bench that gets SIGKILL can end nobody.

Change: the children of the testbed ask the system for SIGKILL when their parent ends (PR_SET_PDEATHSIG, Linux only; elsewhere as before). It is asked for between fork and exec, in the testbed only: a router starts nothing.

--- a/starlingthread/emulator/router_process.py
+++ b/starlingthread/emulator/router_process.py
@@ -18,6 +18,7 @@
 
 from ..experiment.records import KILLED_AFTER_TERM, Ledger, RouterEvent, RouterSample
 from ..experiment.scenario import Scenario
+from .child_processes import end_with_parent
 from .load_oracle import ORACLE_FILE_VARIABLE
 from .port_allocation import PortStripe, free_port
 from .router_settings import router_settings
@@ -102,7 +103,12 @@
         environment = self._environment(config_path, discovery_port)
         self._log = self._log_path.open("ab")
         process = await asyncio.create_subprocess_exec(
-            *self._command(), env=environment, stdin=asyncio.subprocess.DEVNULL, stdout=self._log, stderr=self._log
+            *self._command(),
+            env=environment,
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=self._log,
+            stderr=self._log,
+            preexec_fn=end_with_parent(),
         )
         # Set together: a sample taken meanwhile must not mistake the process that was killed for one that crashed.
         self.process, self.expected_to_end, self._monitored = process, False, None
--- a/starlingthread/testbed/worker_processes.py
+++ b/starlingthread/testbed/worker_processes.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from ..emulator.child_processes import end_with_parent
 from ..emulator.messages import Hello, WorkerMessage
 from ..emulator.rpc_channel import RpcChannel
 from ..experiment.scenario import Scenario
@@ -92,7 +93,9 @@
 
     async def _spawn(self, worker: WorkerId, port: int) -> asyncio.subprocess.Process:
         command = [sys.executable, "-m", "starlingthread.testbed.worker", str(port), worker.role, str(worker.number)]
-        return await asyncio.create_subprocess_exec(*command, stdin=asyncio.subprocess.DEVNULL)
+        return await asyncio.create_subprocess_exec(
+            *command, stdin=asyncio.subprocess.DEVNULL, preexec_fn=end_with_parent()
+        )
 
     def expect_end(self) -> None:
         """From now on no end of a worker is a failure."""
--- /dev/null
+++ b/tests/test_killed_testbed.py
@@ -0,0 +1,46 @@
+"""A testbed that is killed leaves nothing running."""
+
+from __future__ import annotations
+
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import psutil
+
+ROOT = Path(__file__).parents[1]
+START_LIMIT_S = 30.0
+END_LIMIT_S = 10.0
+CALM = str(ROOT / "scenarios" / "calm.toml")
+
+
+def is_alive(process: psutil.Process) -> bool:
+    """Return whether a process runs; one that has ended may wait long for being reaped."""
+    try:
+        return process.is_running() and process.status() != psutil.STATUS_ZOMBIE
+    except psutil.NoSuchProcess:
+        return False
+
+
+def test_routers_and_servers_end_with_a_bench_that_is_killed(tmp_path: Path) -> None:
+    """Guards against routers of killed soaks that idle beside later plays and take their CPU."""
+    command = [sys.executable, "-m", "starlingthread.cli", "bench", CALM, "--set", "routers.count=2"]
+    bench = subprocess.Popen(command, cwd=tmp_path, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    children: list[psutil.Process] = []
+    try:
+        limit = time.monotonic() + START_LIMIT_S
+        while not any(word == "starlingthread" for child in children for word in child.cmdline()):
+            assert time.monotonic() < limit and bench.poll() is None
+            time.sleep(0.05)
+            children = psutil.Process(bench.pid).children(recursive=True)
+    finally:
+        bench.send_signal(signal.SIGKILL)
+        bench.wait()
+    limit = time.monotonic() + END_LIMIT_S
+    while (alive := [child for child in children if is_alive(child)]) and time.monotonic() < limit:
+        time.sleep(0.05)
+    for child in alive:
+        child.kill()
+    assert not alive
