Move the overload of the core and the slow start's sums from policy/ to limits/

What needs no state of the fleet moves: freshness and Retry-After of what is shed (limits/core_overload.py, which holds both controls), the cached sum of warm capacity (limits/slow_start.py), the share of keys (balance/rendezvous.py). policy/ still decides.

--- a/starlingthread/balance/rendezvous.py
+++ b/starlingthread/balance/rendezvous.py
@@ -91,3 +91,12 @@
         (math.log((mix(key ^ candidate.salt) + 1) / MASK) / candidate.weight, candidate.number, candidate)
         for candidate in group
     ]
+
+
+def is_key_in_share(key: int, salt: int, share: float) -> bool:
+    """Return whether a key is in the share of the keys that a server takes; salt: of the server.
+
+    Hashed twice: a key's owners are the servers with the greatest of its hashes, and of those none would be under a
+    share.
+    """
+    return mix(mix(key ^ salt) ^ salt) < share * MASK
--- a/starlingthread/core/core_load.py
+++ b/starlingthread/core/core_load.py
@@ -13,6 +13,7 @@
 from .telemetry import FinalStatus, Telemetry
 
 CPU_SAMPLE_INTERVAL = 250.0  # ms
+OWN_DELAY_ALLOWANCE = 20.0  # ms of an exchange for which this process is busy at any time; more is a delay of its own
 
 
 class CoreLoad:
@@ -25,7 +26,7 @@
         self.cpu = CpuMonitor()
         self.log = OverloadLog(counters)
         self.open_requests = 0  # as of the last turn
-        self._balancer = balancer
+        self._admission = balancer.admission
         self._clock = clock
         self._deadlines = deadlines
         self._counters = counters
@@ -41,7 +42,19 @@
     @property
     def is_shedding(self) -> bool:
         """Whether requests may be rejected by :meth:`shed`."""
-        return self._balancer.admission.is_core_overloaded
+        return self._admission.core.is_shedding
+
+    def idle_time(self) -> float:
+        """Return for how long (ms) this process has been idle; where that is not measured, it always is."""
+        return self.cpu.idle_seconds() * 1000.0 if self.cpu.idle_seconds is not None else self._clock.now()
+
+    def own_delay(self, elapsed: float, idle_time_before: float) -> float:
+        """Return how much of a time (ms) that has elapsed until now is to be put down to this process.
+
+        idle_time_before: what :meth:`idle_time` was at its begin.
+        """
+        busy = elapsed - (self.idle_time() - idle_time_before)
+        return min(elapsed, max(0.0, busy - OWN_DELAY_ALLOWANCE))
 
     def sample_cpu(self) -> None:
         """Look at the CPU's use, now and from then on at intervals."""
@@ -66,7 +79,7 @@
 
         budget: ms until its client gives up.
         """
-        retry_after = self._balancer.shed_retry_after(now, request_class, budget, self._queued_requests)
+        retry_after = self._admission.check_queue(now, request_class, budget, self._queued_requests)
         if retry_after is None:
             self._queued_requests += 1
             return None
--- a/starlingthread/limits/slow_start.py
+++ b/starlingthread/limits/slow_start.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 
 from ..settings import Settings
 
@@ -111,3 +112,22 @@
     def spend(self, cost: float) -> None:
         """Record that a request was sent. One that costs more than can be saved leaves a debt."""
         self.tokens -= cost
+
+
+class WarmCapacity:
+    """The capacity of all ready servers, in warm servers of the fastest kind; summed anew only after WARM_LIFE."""
+
+    __slots__ = ("_capacity", "_summed_at", "_version")
+
+    def __init__(self) -> None:
+        self._capacity = 0.0
+        self._summed_at = -math.inf
+        self._version = -1  # of the endpoint list that it was summed over
+
+    def at(self, now: float, version: int, sum_capacity: Callable[[], float]) -> float:
+        """Return the capacity at a time (ms) with a version of the endpoint list."""
+        if now - self._summed_at > WARM_LIFE or self._version != version:
+            self._summed_at = now
+            self._version = version
+            self._capacity = sum_capacity()
+        return self._capacity
--- a/starlingthread/policy/admission.py
+++ b/starlingthread/policy/admission.py
@@ -4,17 +4,13 @@
 
 from enum import Enum, auto
 
-from ..limits.queue_limit import QueueLimit
-from ..limits.shedding import LoadShedder
+from ..limits.core_overload import CoreOverload
 from ..limits.trunk_reservation import TrunkReservation
 from ..settings import RequestClass
 from ..state.records import RequestState, Server
 from .load_estimate import LoadEstimate
 
 LATE_PROBE_SHARE = 0.1  # of the requests that would be late, sent all the same to learn when a server has recovered
-FRESHNESS_EXPONENT = 4.0  # of the share of the deadline that is left; what has waited longest is shed first
-MIN_RETRY_AFTER_SHARE = 0.2  # of the latency objective: a retry after a short overload can still be in time
-RETRY_AFTER_GROWTH = 4.0  # ms of Retry-After for each ms of the overload so far
 
 
 class Rejection(Enum):
@@ -35,40 +31,24 @@
     def __init__(self, load: LoadEstimate) -> None:
         self.fleet = load.fleet
         self.load = load
-        self.queue_limit = QueueLimit()
-        self.shedder = LoadShedder()
+        self.core = CoreOverload()
         self.trunk_reservation = TrunkReservation()
 
-    @property
-    def is_core_overloaded(self) -> bool:
-        """Whether requests are rejected as this router's own core is overloaded."""
-        return self.queue_limit.is_limited or self.shedder.share > 0
+    def check_queue(self, now: float, request_class: RequestClass, budget: float, queued: int) -> float | None:
+        """Return the Retry-After (ms) of a request that can't be queued for this core, before it becomes an event.
 
-    def allows_queueing(self, request_class: RequestClass, budget: float, queued: int) -> bool:
-        """Return whether a new request may be queued for this router's core.
-
-        Of what clients have sent the freshest is taken, as the rest would be served too late for them.
-        budget: ms until its client gives up; queued: requests that are queued already.
+        None if it may be. budget: ms until its client gives up; queued: requests that are queued already.
         """
-        freshness = min(1.0, budget / request_class.deadline) ** FRESHNESS_EXPONENT
-        return self.queue_limit.allows(queued, freshness * self._relative_weight(request_class))
-
-    def retry_after_overload(self, now: float, request_class: RequestClass) -> float:
-        """Return the Retry-After (ms) of a request that is not queued: the longer the overload lasts, the later.
-
-        It is spread, so that clients do not come back in step.
-        """
-        overloaded_for = max(0.0, now - self.queue_limit.limited_since)
-        shortest = MIN_RETRY_AFTER_SHARE * request_class.latency_objective
-        delay = max(shortest, min(request_class.deadline, RETRY_AFTER_GROWTH * overloaded_for))
-        return min(self.fleet.settings.max_retry_after, delay * (0.5 + self.fleet.rng.random()))
+        if self.core.allows_queueing(request_class, self._relative_weight(request_class), budget, queued):
+            return None
+        retry_after = self.core.retry_after(now, request_class, self.fleet.rng.random())
+        return min(self.fleet.settings.max_retry_after, retry_after)
 
     def check_arrival(self, now: float, state: RequestState) -> Rejection | None:
         """Check whether this router's own core and tables can take a new request."""
         if len(self.fleet.requests) >= self.fleet.settings.max_open_requests:
             return Rejection.ROUTER_OVERLOADED
-        self.queue_limit.observe(now, state.request.queue_time)
-        shed_share = self.shedder.shed_share(now, state.request.queue_time)
+        shed_share = self.core.shed_share(now, state.request.queue_time)
         if shed_share > 0 and self.fleet.rng.random() < shed_share ** self._relative_weight(state.request_class):
             return Rejection.ROUTER_OVERLOADED
         return None
--- a/starlingthread/policy/attempt_gate.py
+++ b/starlingthread/policy/attempt_gate.py
@@ -5,9 +5,9 @@
 import math
 
 from ..actions import Send
-from ..balance.rendezvous import MASK, mix
+from ..balance.rendezvous import is_key_in_share
 from ..events import NEVER_EXECUTED, AttemptResult, Outcome
-from ..limits.slow_start import MARGIN, WARM_LIFE, slow_start_rate, warm_share
+from ..limits.slow_start import MARGIN, WarmCapacity, slow_start_rate, warm_share
 from ..settings import Idempotency
 from ..state.records import AttemptRecord, PossibleExecution, RequestState, Server
 from .load_estimate import LoadEstimate
@@ -26,9 +26,7 @@
     def __init__(self, load: LoadEstimate) -> None:
         self.fleet = load.fleet
         self.load = load
-        self._warm_capacity = 0.0  # of all ready servers, in warm servers of the fastest kind
-        self._warm_capacity_at = -math.inf
-        self._warm_capacity_version = -1  # list version that it was computed for
+        self._warm_capacity = WarmCapacity()
 
     def send(self, now: float, state: RequestState, server: Server) -> bool:
         """Send an attempt to a server, or return False if a rule forbids it."""
@@ -126,29 +124,19 @@
         if share >= 1:
             return True
         share *= MARGIN
-        if not self._is_key_in_share(state, server, share):
+        if not is_key_in_share(state.request.key or state.request.id, server.salt, share):
             return False
         # Guards against retries, bursts and hot keys that meet at a server that warms up, in any window in which it
         # could be overloaded.
         speed = self.load.speed(server)
         served_per_ms = self.load.served_rate.per_ms(now)
-        rate = slow_start_rate(share * speed, served_per_ms, self._warm_capacity_of_fleet(now), settings)
+        warm_capacity = self._warm_capacity.at(now, self.fleet.list_version, lambda: self._sum_warm_capacity(now))
+        rate = slow_start_rate(share * speed, served_per_ms, warm_capacity, settings)
         return server.slow_start.allows(now, rate, settings.overload_window, self.load.relative_cost(state))
 
-    def _is_key_in_share(self, state: RequestState, server: Server, share: float) -> bool:
-        key = state.request.key or state.request.id
-        # Hashed twice: a key's owners are the servers with the greatest of its hashes, and of those none would be
-        # under a share.
-        return mix(mix(key ^ server.salt) ^ server.salt) < share * MASK
-
     def _warm_share(self, now: float, server: Server) -> float:
         settings = self.fleet.settings
         return warm_share(now, server.warming_since, settings.initial_capacity_share, settings.slow_start_duration)
 
-    def _warm_capacity_of_fleet(self, now: float) -> float:
-        version = self.fleet.list_version
-        if now - self._warm_capacity_at > WARM_LIFE or self._warm_capacity_version != version:
-            self._warm_capacity_at = now
-            self._warm_capacity_version = version
-            self._warm_capacity = sum(self.load.speed(s) * self._warm_share(now, s) for s in self.fleet.ready)
-        return self._warm_capacity
+    def _sum_warm_capacity(self, now: float) -> float:
+        return sum(self.load.speed(server) * self._warm_share(now, server) for server in self.fleet.ready)
--- a/starlingthread/policy/balancer.py
+++ b/starlingthread/policy/balancer.py
@@ -17,7 +17,7 @@
     SettingsChanged,
     Timer,
 )
-from ..settings import RequestClass, Settings
+from ..settings import Settings
 from ..state.fleet import Fleet
 from ..state.records import RequestState
 from .admission import Admission
@@ -90,16 +90,6 @@
                 raise TypeError(f"not an event: {event!r}")
         return self._take_actions()
 
-    def shed_retry_after(self, now: float, request_class: RequestClass, budget: float, queued: int) -> float | None:
-        """Return None if a new request may be queued for this core, else the Retry-After (ms) of its rejection.
-
-        It is asked before a request becomes an event, as a rejection has to cost far less than a request.
-        budget: ms until its client gives up; queued: requests that are queued for the core already.
-        """
-        if self.admission.allows_queueing(request_class, budget, queued):
-            return None
-        return self.admission.retry_after_overload(now, request_class)
-
     def _take_actions(self) -> list[Action]:
         actions = self.fleet.actions
         self.fleet.actions = []
--- a/starlingthread/policy/hedging.py
+++ b/starlingthread/policy/hedging.py
@@ -34,7 +34,7 @@
         self.affinity = choice.affinity
         self.fleet = choice.fleet
         self.load = choice.load
-        self.admission = admission
+        self.core = admission.core
         self.budget = HedgeBudget()
         self._checks: list[HedgeCheck] = []  # a heap
         self._timer_at = math.inf  # when the next check is due for which a timer is set
@@ -94,7 +94,7 @@
     def _is_worthwhile(self, now: float, state: RequestState, server: Server, attempt: AttemptRecord) -> bool:
         load = self.load
         draw = self.fleet.rng.random()
-        if self.admission.is_core_overloaded:
+        if self.core.is_shedding:
             return False
         if load.wait_estimates.mean_wait > MAX_MEAN_WAIT * state.request_class.latency_objective:
             return False
--- a/tests/test_core_overload.py
+++ b/tests/test_core_overload.py
@@ -57,8 +57,8 @@
 
 def overloaded_world() -> World:
     world = World(THROUGH._replace(max_retry_after=2000.0))
-    world.balancer.admission.queue_limit.limit = 8.0
-    world.balancer.admission.queue_limit.limited_since = world.now
+    queue_limit = world.balancer.admission.core.queue_limit
+    queue_limit.limit, queue_limit.limited_since = 8.0, world.now
     return world
 
 
@@ -66,7 +66,7 @@
     """Guards against a core whose work all goes to requests that clients have waited for too long."""
     world = overloaded_world()
     read, keyed = THROUGH.classes[READ], THROUGH.classes[IDEMPOTENCY_KEY]
-    shed = world.balancer.shed_retry_after
+    shed = world.balancer.admission.check_queue
     assert shed(world.now, read, read.deadline, 7) is None
     assert shed(world.now, read, read.deadline, 8) is not None
     assert shed(world.now, read, read.deadline * 0.5, 0) is not None
@@ -79,7 +79,7 @@
 
     def advice(overloaded_for: float) -> list[float]:
         now = world.now + overloaded_for
-        return [world.balancer.shed_retry_after(now, read, read.deadline, 100) or 0.0 for _ in range(50)]
+        return [world.balancer.admission.check_queue(now, read, read.deadline, 100) or 0.0 for _ in range(50)]
 
     short, long = advice(0.0), advice(5000.0)
     assert 50.0 <= min(short) < max(short) <= 150.0 and len(set(short)) > 25
@@ -91,7 +91,7 @@
 
     async def play() -> None:
         async with running_router(tmp_path) as harness:
-            limit = harness.router.balancer.admission.queue_limit
+            limit = harness.router.balancer.admission.core.queue_limit
             limit.limit, limit.limited_since = 0.5, 0.0
             client = await harness.client()
             await client.send(read_command(1))
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -26,8 +26,7 @@
     "outliers",
     "trunk_reservation",
     "service_times",
-    "queue_limit",
-    "shedding",
+    "core_overload",
     "slow_start",
     "machine_speed",
 }
