Learn nothing of a server from time in which this process did not run

What callers saw: a router that was stopped and continued left single servers idle for seconds.

Cause: an attempt was timed from the decision to the handling of its outcome, whatever of it this process was stopped or had no CPU. It counted as a wait, a late response, a service time; a time-out as a failure.

A server that is slow by itself still counts.

Change: the event loop's idle time, no longer than it asked to wait, tells the process's own delay; the module learns from the rest beyond 20 ms.

--- a/starlingthread/core/event_loop.py
+++ b/starlingthread/core/event_loop.py
@@ -1,4 +1,8 @@
-"""An event loop that measures how long it was idle: blocked, with nothing to do."""
+"""An event loop that measures how long it was idle: blocked, with nothing to do.
+
+A process that is stopped or gets no CPU while it is blocked wakes late. That time is not idle: what arrives meanwhile
+waits for the process.
+"""
 
 from __future__ import annotations
 
@@ -20,7 +24,8 @@
             return super().select(timeout)
         begun_at = time.monotonic()
         events = super().select(timeout)
-        self.blocked_seconds += time.monotonic() - begun_at
+        blocked_seconds = time.monotonic() - begun_at
+        self.blocked_seconds += blocked_seconds if timeout is None else min(blocked_seconds, timeout)
         return events
 
 
--- a/starlingthread/core/router.py
+++ b/starlingthread/core/router.py
@@ -224,6 +224,7 @@
         for attempt in self.attempts.get(request.id, ()):
             if attempt.pending:
                 attempt.sent_at = now
+                attempt.idle_time_before = self.core_load.idle_time()
                 self._set_attempt_deadline(attempt, deadline)
 
     def _on_overdue(self, request: PendingRequest) -> None:
@@ -257,7 +258,10 @@
             self.counters.increment("attempts.unknown_request")
             return
         deadline = min(now + action.timeout, request.deadline) if action.timeout else request.deadline
-        attempt = Attempt(request, request.attempts_started, action.server, now, deadline, action.write_deadline)
+        idle_time = self.core_load.idle_time()
+        attempt = Attempt(
+            request, request.attempts_started, action.server, now, idle_time, deadline, action.write_deadline
+        )
         self.attempts[request.id].append(attempt)
         request.attempts_started += 1
         request.attempts_in_flight += 1
@@ -300,15 +304,17 @@
 
     def _outcome(self, message: AttemptEnded) -> Outcome:
         attempt = message.attempt
+        elapsed = self.clock.now() - attempt.sent_at
         return Outcome(
             attempt.request.id,
             attempt.number,
             attempt.server,
             message.result,
-            self.clock.now() - attempt.sent_at,
+            elapsed,
             attempt.request.finished,
             message.cache_status,
             message.load_report,
+            self.core_load.own_delay(elapsed, attempt.idle_time_before),
         )
 
     def _cancel_attempt(self, action: Cancel) -> None:
--- a/starlingthread/events.py
+++ b/starlingthread/events.py
@@ -100,6 +100,17 @@
     request_finished: bool
     cache_status: CacheStatus = CacheStatus.NONE
     load_report: tuple[float, ...] = ()
+    own_delay: float = 0.0  # ms of the time elapsed for which this router's process was stopped or had no CPU
+
+    @property
+    def response_time(self) -> float:
+        """The time (ms) that the server took, as far as is known."""
+        return self.elapsed - self.own_delay
+
+    @property
+    def is_lost_here(self) -> bool:
+        """Whether it timed out mainly because this router's process did not run; that says nothing of the server."""
+        return self.result == AttemptResult.TIMEOUT and self.own_delay > self.elapsed / 2
 
 
 class FirstByte(NamedTuple):
--- a/starlingthread/limits/limit_adjustment.py
+++ b/starlingthread/limits/limit_adjustment.py
@@ -31,14 +31,14 @@
     if result == AttemptResult.FULL:
         server.on_rejection(in_flight)
     elif result == AttemptResult.OK and _was_fetch(event.cache_status, fetch_probability):
-        origin.on_fetch(True, event.elapsed, latency_objective)
+        origin.on_fetch(True, event.response_time, latency_objective)
     elif result == AttemptResult.ERROR or (result == AttemptResult.TIMEOUT and fetch_probability > 0.5):
-        if event.elapsed >= typical_fetch_time:
-            origin.on_fetch(False, event.elapsed, latency_objective)
+        if event.response_time >= typical_fetch_time:
+            origin.on_fetch(False, event.response_time, latency_objective)
     elif result in (AttemptResult.TIMEOUT, AttemptResult.CONNECT_FAILED):
         server.on_failure(in_flight)
     elif result == AttemptResult.OK:
-        if event.elapsed > max(expected_time, LATE_SHARE * latency_objective):
+        if event.response_time > max(expected_time, LATE_SHARE * latency_objective):
             server.on_failure(in_flight)
         else:
             server.on_success(in_flight)
--- a/starlingthread/policy/load_estimate.py
+++ b/starlingthread/policy/load_estimate.py
@@ -52,7 +52,7 @@
     def time_without_wait(self, state: RequestState, server: Server, event: Outcome, expected_time: float) -> float:
         """Return the part of a response's time (ms) that was no wait; expected_time: as expected when it was sent."""
         name, hint, speed = state.request_class.name, state.request.cost_hint, self.speed(server)
-        return self.service_times.without_wait(name, hint, event.elapsed, expected_time, speed)
+        return self.service_times.without_wait(name, hint, event.response_time, expected_time, speed)
 
     def is_late(self, now: float, state: RequestState, server: Server, wait: float) -> bool:
         """Return whether a request that waits so long (ms) at a server would be late, as far as is known.
@@ -98,7 +98,7 @@
     ) -> bool:
         """Learn the wait (ms) that an attempt met; return whether a fetch failed, so that nothing was stored."""
         result = event.result
-        wait = event.elapsed
+        wait = event.response_time
         if result == AttemptResult.OK:
             wait -= self.time_without_wait(state, server, event, expected_time)
         fetch_failed = self._is_failed_fetch(state, result, wait)
@@ -129,6 +129,7 @@
         sent_at = now - event.elapsed
         outliers = server.outliers
         timed_out = event.result == AttemptResult.TIMEOUT and sent_at > outliers.last_answered_sent_at
+        timed_out = timed_out and not event.is_lost_here
         if event.result == AttemptResult.OK or timed_out:
             counts_for_mean = server is not self.fleet.origin and outliers.last_response_at >= sent_at
             self.wait_estimates.on_wait(now, server.load, wait, counts_for_mean)
@@ -138,7 +139,7 @@
         name, hint = state.request_class.name, state.request.cost_hint
         service_time = self.service_times.get(name)
         if service_time and service_time.is_learned and event.cache_status == CacheStatus.HIT:
-            relative_time = event.elapsed / service_time.expected(hint)
+            relative_time = event.response_time / service_time.expected(hint)
             self.speed_version += self.machine_speeds.observe(server.endpoint.kind, relative_time)
-        self.service_times.observe(name, hint, event.elapsed * self.speed(server))
+        self.service_times.observe(name, hint, event.response_time * self.speed(server))
         self.served_rate.record(now)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -149,7 +149,7 @@
         request = PendingRequest(
             self.router_harness, THROUGH.classes[0], 7, now + 500.0, command, now, is_write=command.is_write
         )
-        return Attempt(request, 0, 1, now, now + 400.0)
+        return Attempt(request, 0, 1, now, 0.0, now + 400.0)
 
     def deliver(self, message: messages.Message) -> list[Any]:
         self.actor.handle(message)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -13,6 +13,7 @@
 
 from starlingthread.core.deadline_timer import DeadlineTimer
 from starlingthread.core.deadlines import Deadline, Deadlines
+from starlingthread.core.event_loop import MeteredSelector
 from starlingthread.core.mailbox import Mailbox
 from starlingthread.core.messages import (
     AttemptEnded,
@@ -23,7 +24,7 @@
     RequestReceived,
     Served,
 )
-from starlingthread.events import AttemptResult
+from starlingthread.events import AttemptResult, CacheStatus
 
 from .router_harness import ManualClock, RouterHarness
 from .world import IDEMPOTENCY_KEY, NOT_IDEMPOTENT, READ, THROUGH
@@ -207,3 +208,30 @@
             harness.deliver(RequestReceived(request))
         queue_times.append(handle.call_args.args[1].queue_time)
     assert queue_times == [0.0, 30.0, 0.0]
+
+
+def test_a_server_is_not_charged_for_the_time_in_which_this_process_was_stopped() -> None:
+    """Guards against a server that a continued router leaves idle: a response seemed to have taken three seconds."""
+    harness = RouterHarness()
+    idle = 0.0  # s
+    harness.router.core_load.cpu.idle_seconds = lambda: idle
+    waits = harness.router.balancer.load.expected_wait
+    attempts = []
+    for stopped, idle_time in ((0.0, 30.0), (3000.0, 30.0), (0.0, 3000.0)):
+        harness.submit_request(deadline_in=900.0 if not stopped else 9000.0)
+        attempt = harness.started[-1]
+        harness.clock.time += stopped + idle_time
+        idle += idle_time / 1000.0
+        harness.deliver(AttemptEnded(attempt, AttemptResult.OK, CacheStatus.HIT))
+        attempts.append(waits(harness.clock.time, harness.router.balancer.fleet.servers[attempt.server]))
+    assert attempts[1] < 100.0 < 1000.0 < attempts[2]
+
+
+def test_a_selector_that_wakes_late_was_not_idle_for_longer_than_it_was_asked(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a stop of the process that counts as time in which responses were waited for."""
+    selector = MeteredSelector()
+    times = iter((100.0, 103.0))
+    monkeypatch.setattr(time, "monotonic", lambda: next(times))
+    selector.select(0.01)
+    selector.close()
+    assert selector.blocked_seconds == pytest.approx(0.01)
