Put off a hedge's check that is late, as responses may lie unread after a stop

Cause: a hedge's check that came due during the stop ran in the first turn, before responses were read that lay there. It noted 3 s of silence as the server's: an expected wait of 3,000 ms (half-life 1 s) and a failure.

First responses have no part.

Change: a check over 50 ms late is put off by 50 ms. The test in tests/test_router.py forces the order and failed before (one failure counted, one expected).

--- a/starlingthread/policy/hedging.py
+++ b/starlingthread/policy/hedging.py
@@ -15,6 +15,7 @@
 from .server_choice import ServerChoice
 from .timers import CHECK_HEDGES, TIMER_TOLERANCE
 
+MAX_LATENESS = 50.0  # ms of a check; a later one follows a stop of this process, and responses may lie unread
 MAX_MEAN_WAIT = 0.4  # of the latency objective; where the servers' mean wait is longer, hedges only add to the load
 
 
@@ -64,9 +65,13 @@
             return
         self._timer_at = math.inf
         while self._checks and self._checks[0].due <= now + TIMER_TOLERANCE:
-            state = self.fleet.requests.get(heappop(self._checks).request_id)
+            due, request_id = heappop(self._checks)
+            state = self.fleet.requests.get(request_id)
             if state is None or state.finished or len(state.attempts) > 1:
                 continue
+            if now - due > MAX_LATENESS:
+                heappush(self._checks, HedgeCheck(now + MAX_LATENESS, request_id))
+                continue
             attempt = state.attempts[0]
             if attempt is not None:
                 self._check_attempt(now, state, attempt)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -27,7 +27,7 @@
 from starlingthread.events import AttemptResult, CacheStatus
 
 from .router_harness import ManualClock, RouterHarness
-from .world import IDEMPOTENCY_KEY, NOT_IDEMPOTENT, READ, THROUGH
+from .world import HEDGED, IDEMPOTENCY_KEY, NOT_IDEMPOTENT, READ, THROUGH
 
 
 def test_an_answer_goes_to_the_client_and_the_request_is_removed() -> None:
@@ -227,6 +227,20 @@
     assert attempts[1] < 100.0 < 1000.0 < attempts[2]
 
 
+def test_a_server_whose_response_lies_unread_after_a_stop_is_not_taken_for_silent() -> None:
+    """Guards against servers that a continued router left idle for seconds: a hedge's check saw 3 s of silence."""
+    harness = RouterHarness(HEDGED)
+    harness.router.begin()
+    harness.submit_request(deadline_in=9000.0)
+    attempt = harness.started[-1]
+    harness.clock.time += 3000.0
+    harness.router.turn()  # deadlines have expired; the response is read later in this turn of the event loop
+    harness.deliver(AttemptEnded(attempt, AttemptResult.CANCELLED))
+    server = harness.router.balancer.fleet.servers[attempt.server]
+    assert len(harness.started) == 1 and server.outliers.consecutive_failures == 0
+    assert harness.router.balancer.load.expected_wait(harness.clock.time, server) < 100.0
+
+
 def test_a_selector_that_wakes_late_was_not_idle_for_longer_than_it_was_asked(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a stop of the process that counts as time in which responses were waited for."""
     selector = MeteredSelector()
