Mark the reset of a connection as retrieved when it is lost, not when the garbage is collected

Cause: asyncio's stream protocol keeps the reset in a future and marks it as retrieved in its own finalizer. A full collection finalizes the youngest generation first: if a collection ran between the creation of the protocol and of the future, the future reports before the protocol is finalized.

Change: the protocol of our streams marks it when the connection is lost; clients, cache servers, discovery and management use it. The Unix socket of an upgrade does not.

--- a/starlingthread/net/discovery/call.py
+++ b/starlingthread/net/discovery/call.py
@@ -11,6 +11,7 @@
 from ...core.clock import Clock
 from ...core.deadlines import Deadline, Deadlines
 from ..late_timers import LATE_TIMER_MS, is_handled_late
+from ..streams import open_stream
 from .errors import DiscoveryCallError
 from .json_stream import JsonObjectSplitter
 
@@ -127,7 +128,7 @@
         writer: asyncio.StreamWriter | None = None
         try:
             silence.restart(CONNECT_TIMEOUT_MS)
-            reader, writer = await asyncio.open_connection(*self._address)
+            reader, writer = await open_stream(*self._address, READ_SIZE)
             silence.restart(response.silence_timeout)
             self._send_request(writer)
             await self._receive(reader, response, silence)
--- a/starlingthread/net/management.py
+++ b/starlingthread/net/management.py
@@ -19,6 +19,7 @@
 from ..core.counters import Counters
 from ..core.deadlines import Deadlines
 from ..core.task_supervisor import TaskSupervisor
+from .streams import StreamProtocol
 
 READ_SIZE = 4096  # bytes
 MAX_HEAD = 8192  # bytes of a request's head
@@ -202,8 +203,10 @@
     async def listen(self, host: str, port: int) -> None:
         """Bind the address and accept. Raise an OSError if it can't be bound."""
         listening = socket.create_server((host, port), backlog=BACKLOG)
-        self._server = await asyncio.start_server(
-            self.accept, sock=listening, limit=READ_SIZE, backlog=self.max_connections
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: StreamProtocol(asyncio.StreamReader(limit=READ_SIZE), self.accept),
+            sock=listening,
+            backlog=self.max_connections,
         )
         listening.listen(BACKLOG)
 
--- a/starlingthread/net/streams.py
+++ b/starlingthread/net/streams.py
@@ -40,7 +40,34 @@
     return any(reported & events for _, reported in poll.poll(0))
 
 
-class DisconnectAwareProtocol(asyncio.StreamReaderProtocol):
+class StreamProtocol(asyncio.StreamReaderProtocol):
+    """A stream protocol whose connection may be reset without a traceback in the log.
+
+    asyncio keeps the reset in a future, and marks it as retrieved when the protocol is finalized. The garbage collector
+    may finalize that future first, if the protocol was moved to an older generation before the future was created.
+    """
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Handle the end of the connection."""
+        super().connection_lost(exc)
+        closed: asyncio.Future[None] | None = getattr(self, "_closed", None)
+        if closed is not None and closed.done() and not closed.cancelled():
+            closed.exception()
+
+
+async def open_stream(host: str, port: int, limit: int) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Connect to an address and return the connection's streams; raise an OSError if that fails.
+
+    limit: bytes after which reading pauses, half of what may lie unread.
+    """
+    loop = asyncio.get_running_loop()
+    reader = asyncio.StreamReader(limit=limit)
+    protocol = StreamProtocol(reader)
+    transport, _ = await loop.create_connection(lambda: protocol, host, port)
+    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+
+
+class DisconnectAwareProtocol(StreamProtocol):
     """A stream protocol that reports the peer's end of file or reset at once, whatever the stream's reader awaits."""
 
     def __init__(self, on_connected: Callable[[asyncio.StreamReader, asyncio.StreamWriter], None], limit: int) -> None:
--- a/starlingthread/net/upstreams/opener.py
+++ b/starlingthread/net/upstreams/opener.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from ...core.deadlines import Deadline
-from ..streams import limit_read_size
+from ..streams import limit_read_size, open_stream
 from .connection import READ_SIZE, Connection, Exchange
 from .context import UpstreamContext
 from .messages import ConnectCompleted, ConnectTimedOut
@@ -80,7 +80,7 @@
     async def _connect(self, exchange: Exchange) -> None:
         address = self._pool.address
         try:
-            reader, writer = await asyncio.open_connection(*address, limit=READ_SIZE)
+            reader, writer = await open_stream(*address, READ_SIZE)
             limit_read_size(writer, READ_SIZE)
         except OSError:
             self.post(ConnectCompleted(exchange, None))
