--- a/starlingthread/analysis/reduction.py
+++ b/starlingthread/analysis/reduction.py
@@ -11,7 +11,7 @@
 import numpy as np
 
 from .. import __version__
-from ..experiment.records import RUN, FaultRecord, Ledger, Operation, RouterSample
+from ..experiment.records import NO_CONNECTION, RUN, FaultRecord, Ledger, Operation, RouterSample
 from ..experiment.scenario import RequestClass, Scenario
 from .evenness import measure
 from .latency import percentile_curve, percentiles_of
@@ -138,19 +138,22 @@
 
 
 def _router_usages(scenario: Scenario, ledger: Ledger) -> list[_RouterUsage]:
-    requests = Counter(attempt.router for attempt in ledger.attempts)
+    attempts = Counter(attempt.router for attempt in ledger.attempts)
+    received = Counter(attempt.router for attempt in ledger.attempts if attempt.outcome != NO_CONNECTION)
     last_due = max((operation.due_at for operation in ledger.operations), default=ledger.ended_at)
     samples: dict[int, list[RouterSample]] = defaultdict(list)
     for sample in ledger.router_samples:
         if ledger.started_at - SAMPLES_BEFORE_START_MS <= sample.at <= last_due + SAMPLES_AFTER_END_MS:
             samples[sample.router].append(sample)
     return [
-        _router_usage(f"r{number}", requests[number], samples[number], ledger.started_at)
+        _router_usage(f"r{number}", attempts[number], received[number], samples[number], ledger.started_at)
         for number in range(scenario.routers.count)
     ]
 
 
-def _router_usage(name: str, requests: int, samples: list[RouterSample], started_at: float) -> _RouterUsage:
+def _router_usage(
+    name: str, attempts: int, received: int, samples: list[RouterSample], started_at: float
+) -> _RouterUsage:
     times = [_seconds_since(started_at, sample.at) for sample in samples]
     cpu = TimeSeries(name, [], [])
     cpu_s = 0.0
@@ -166,11 +169,12 @@
         cpu.values.append(round(used_s / max(MIN_SAMPLE_SPAN_S, span_s), 4))
     result = RouterResult(
         name=name,
-        requests=requests,
-        cpu_us_per_request=round(cpu_s * 1e6 / max(1, requests), 1),
+        requests=attempts,
+        cpu_us_per_request=round(cpu_s * 1e6 / max(1, received), 1),
         cpu_share=round(cpu_s / observed_s, 4) if observed_s else 0.0,
         peak_memory_mb=round(max((sample.memory_mb for sample in samples), default=0.0), 2),
         peak_descriptors=max((sample.descriptors for sample in samples), default=0),
+        received=received,
     )
     memory = TimeSeries(name, times, [round(sample.memory_mb, 2) for sample in samples])
     descriptors = TimeSeries(name, times, [float(sample.descriptors) for sample in samples])
--- a/starlingthread/analysis/results.py
+++ b/starlingthread/analysis/results.py
@@ -47,11 +47,12 @@
     """What one router used between the first and the last request."""
 
     name: str
-    requests: int
+    requests: int  # attempts of clients, also those that found no connection
     cpu_us_per_request: float
     cpu_share: float
     peak_memory_mb: float
     peak_descriptors: int
+    received: int = 0  # of these, those that were sent on a connection; 0 in results of older versions
 
 
 class SecondResult(msgspec.Struct, rename={"rejected": "refused"}):
--- a/starlingthread/cli/results_output.py
+++ b/starlingthread/cli/results_output.py
@@ -80,7 +80,8 @@
         console.print(f"the {len(busiest)} busiest of {len(results.routers)} routers:", highlight=False)
     for router in busiest:
         console.print(
-            f"{router.name}: {router.requests} requests, {router.cpu_us_per_request:.0f} µs of CPU each, "
+            f"{router.name}: {router.requests} attempts of clients, {router.received} sent on a connection, "
+            f"{router.cpu_us_per_request:.0f} µs of CPU for each sent, "
             f"{router.peak_memory_mb:.1f} MB, {router.peak_descriptors} descriptors",
             highlight=False,
         )
--- a/starlingthread/experiment/records.py
+++ b/starlingthread/experiment/records.py
@@ -17,6 +17,7 @@
 FAILED = "failed"
 REJECTED = "turned-away"
 CUT = "cut"  # its connection ended first
+NO_CONNECTION = "refused"  # outcome of a client's attempt that was never sent
 
 KILLED_AFTER_TERM = "killed-after-term"  # the kind of router event of a SIGKILL some time after SIGTERM
 LISTED_PREFIX = "listed "  # of the kind of server events that change a status at discovery
