End the load tool's waiting attempts whose time is over in a loop, not by recursion

Cause: an attempt that got a connection when its time was over gave it back by _release, which sent the next waiting one at once: _write -> _release -> _continue_waiting -> _send -> _write, four frames for each such attempt in the queue. At the recursion limit the attempts that had been taken from the queue were lost, with their timers cancelled, and their operations never ended.

Test: tests/test_load_operations.py, in an event loop whose time is set by hand. Ten thousand attempts wait for the one connection to a router and their time is over when it is released, or when it opens. On the code before, its four tests failed; three ended with

E RecursionError: maximum recursion depth exceeded

and in the fourth (the connection opens late, so the error is that of a task) the attempts had no outcome:

E AssertionError: assert {'none'} == {'refused'}

Fix: _write only puts the connection back into the pool and returns whether it sent. The loop of _continue_waiting, which runs while a connection is idle, goes on with the next attempt; where the connection has just opened, _connect_and_write calls it. An operation's first or next attempt (_attempt) needs no such call: a connection is idle only while no attempt waits for one to that router. So the depth no longer depends on the queue's length.

What differs: attempts whose time is over end in the order in which they waited; they ended in reverse, as the deepest call returned first. Backoff jitter is drawn in that order. Outcomes, timers and retry rules are as before.

--- a/starlingthread/load/operations.py
+++ b/starlingthread/load/operations.py
@@ -154,7 +154,10 @@
         self._finish_attempt(waiting.operation, waiting.attempt, "refused")
 
     def _continue_waiting(self, router: int) -> None:
-        """Send the attempts that have waited longest for a connection, as far as there are some."""
+        """Send the attempts that have waited longest for a connection, as far as there are some.
+
+        One whose time is over leaves its connection idle, for the next one in the queue.
+        """
         queue = self._waiting[router]
         while queue and (self.pool.has_idle(router) or self.pool.may_connect(router)):
             waiting = queue.popleft()
@@ -170,16 +173,17 @@
             self._loop.call_soon(self._continue_waiting, attempt.router)
             # Sent once before: then the router died with it, and it may have run.
             self._finish_attempt(operation, attempt, "eof" if operation.is_resent else "refused")
-        else:
-            self._write(connection, operation, attempt)
+        elif not self._write(connection, operation, attempt):
+            self._continue_waiting(attempt.router)
 
-    def _write(self, connection: ClientConnection, operation: PendingOperation, attempt: ClientAttempt) -> None:
+    def _write(self, connection: ClientConnection, operation: PendingOperation, attempt: ClientAttempt) -> bool:
+        """Send an attempt and return True; if its time is over, put the connection back and return False."""
         now = now_ms()
         remaining = attempt.sent_at + attempt.budget_ms - now
         if remaining < MIN_SEND_BUDGET_MS:
-            self._release(connection)
+            self.pool.release(connection)
             self._finish_attempt(operation, attempt, "refused")
-            return
+            return False
         budget = int(remaining)
         request = encode_request(operation.spec, operation.record, operation.key, attempt, budget, self._value)
         operation.connection = connection
@@ -188,6 +192,7 @@
         attempt.sent_at = now
         attempt.budget_ms = float(budget)
         self._start_timer(operation, attempt)
+        return True
 
     def _start_timer(self, operation: PendingOperation, attempt: ClientAttempt) -> None:
         """Limit how long the client listens: until the deadline and a bit longer, or until it leaves early."""
