Establish only connections that find a place, and close none that is in use for others

Cause: the system queued up to 1,024 connections that the router had no descriptor for. The overflow answered one request of each and closed it in the same call; the client's next request crossed the close, and its second connection was dropped at the full accept queue or waited there unread. Each close made the next connection.

Change: the overflow is gone. Before each accept the accept queue is limited to the places that are free or were released in the last 100 ms; with none a socket filter drops SYNs, as Linux queues one connection even with a backlog of 0. The listener's accepting is a class of its own, AcceptLoop.

Why it works: what is up has a place, and what has a place is read in the loop's next turn.

--- a/starlingthread/core/overload_log.py
+++ b/starlingthread/core/overload_log.py
@@ -15,8 +15,7 @@
     "answers.rejected",
     "clients.accepted",
     "clients.accept_paused",
-    "clients.overflowed",
-    "clients.closed_unread",
+    "clients.queue_shut",
     "clients.evicted",
 )
 
--- /dev/null
+++ b/starlingthread/net/clients/accept_loop.py
@@ -0,0 +1,136 @@
+"""Accepts queued connections while there is room, and limits the accept queue to those that will find some."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import select
+import socket
+from typing import Protocol
+
+from ...core.clock import Clock
+from ...core.counters import Counters
+from ...core.deadlines import Deadline, Deadlines
+from ...core.task_supervisor import TaskSupervisor
+from .accept_queue import AcceptQueue
+from .acceptor import Acceptor, OnConnection, SocketCounts
+from .room import ConnectionRoom
+
+ROOM_CHECK_INTERVAL_MS = 20.0  # between checks for places while clients can't connect or wait in the queue
+MAX_QUEUE_WAIT_MS = 100.0  # without room, after which any idle connection is evicted for a queued one
+MAX_FINAL_ACCEPT_ROUNDS = 1000  # checks for queued connections before the listening socket is closed
+QUIET_ACCEPT_ROUNDS = 2  # turns of the loop without any after which those accepted have become connections
+
+
+class AcceptContext(Protocol):
+    """The listener, as its accept loop sees it."""
+
+    clock: Clock
+    counters: Counters
+    deadlines: Deadlines
+    supervisor: TaskSupervisor
+    sockets: SocketCounts
+    max_clients: int
+
+
+class AcceptLoop:
+    """The accepting of connections at one listening socket, from its begin to its end."""
+
+    def __init__(
+        self,
+        context: AcceptContext,
+        room: ConnectionRoom,
+        listening: socket.socket,
+        is_shared: bool,
+        on_connection: OnConnection,
+    ) -> None:
+        """Begin to accept; the listening socket stays the caller's.
+
+        is_shared: another process may accept at the socket too.
+        """
+        self._context = context
+        self._room = room
+        self._listening = listening
+        self._queue = AcceptQueue(listening, context.counters, is_shared)
+        self._room_check: Deadline | None = None
+        self._no_room_since = -math.inf  # clock time from which on a queued connection has found no room
+        self._no_room_at = -math.inf  # clock time of the last attempt to accept it
+        self._is_ending = False
+        self.limit_queue()
+        self._acceptor = Acceptor(
+            listening.dup(), on_connection, self._has_room, context.sockets, context.supervisor, context.counters
+        )
+
+    def close(self) -> None:
+        """Accept no more; queued connections are left in the queue."""
+        self._context.deadlines.clear(self._room_check)
+        self._acceptor.close()
+
+    # the queue
+
+    def limit_queue(self, accepting: int = 0) -> None:
+        """Let clients connect for the places that are expected, less those for connections accepted just now."""
+        self._queue.set_limit(0 if self._is_ending else self._room.expected_places - accepting)
+        if self._queue.is_shut:
+            self._room.note_full()
+            self._schedule_room_check()
+
+    def on_connection_closed(self) -> None:
+        """Let clients connect again at once, if a place has become free."""
+        if self._queue.is_shut:
+            self.limit_queue()
+
+    # room
+
+    def _has_room(self) -> bool:
+        """Return whether one more queued connection may be accepted; if not, check again before long."""
+        if self._room.make(self._queue.is_shut) or self._make_room_for_overdue():
+            self.limit_queue(accepting=1)
+            return True
+        now = self._context.clock.now()
+        if now - self._no_room_at > MAX_QUEUE_WAIT_MS:
+            self._no_room_since = now
+        self._no_room_at = now
+        self._context.counters.increment("clients.accept_paused")
+        self._schedule_room_check()
+        return False
+
+    def _make_room_for_overdue(self) -> bool:
+        """Evict any idle connection for one that has waited in the queue for long, as its request is taken."""
+        now = self._context.clock.now()
+        is_waiting = now - self._no_room_at <= MAX_QUEUE_WAIT_MS
+        is_overdue = is_waiting and now - self._no_room_since >= MAX_QUEUE_WAIT_MS
+        has_descriptor = self._context.sockets.open < self._context.max_clients
+        return (is_overdue or self._is_ending) and has_descriptor and self._room.evict_any()
+
+    def _schedule_room_check(self) -> None:
+        if self._room_check is None:
+            due = self._context.clock.now() + ROOM_CHECK_INTERVAL_MS
+            self._room_check = self._context.deadlines.set(due, self._check_room)
+
+    def _check_room(self) -> None:
+        """Look for places while clients can't connect, or while connections wait in the queue."""
+        self._room_check = None
+        if self._queue.is_shut:
+            self._room.shed_ahead()
+            self.limit_queue()
+        self._acceptor.resume()
+
+    # the end
+
+    async def accept_queued(self) -> None:
+        """Let no more clients connect, and accept those that have: they would be reset as the socket closes.
+
+        Accepted sockets become connections some turns of the loop later, and are lost if the acceptor is closed before.
+        """
+        self._is_ending = True
+        self.limit_queue()
+        queued = select.poll()
+        queued.register(self._listening, select.POLLIN)
+        quiet_rounds = 0
+        for _ in range(MAX_FINAL_ACCEPT_ROUNDS):
+            quiet_rounds = 0 if queued.poll(0) else quiet_rounds + 1
+            if quiet_rounds > QUIET_ACCEPT_ROUNDS:
+                return
+            self._acceptor.resume()
+            await asyncio.sleep(0)
--- a/starlingthread/net/clients/connection.py
+++ b/starlingthread/net/clients/connection.py
@@ -116,7 +116,16 @@
 
     def eviction_rank(self, now: float) -> EvictionRank | None:
         """Return the place in the order of eviction when descriptors run out; None if the connection must stay."""
-        return eviction_rank(self.state, bool(self.responses.slots), self.listener.router.core_load.is_saturated, now)
+        is_core_saturated = self.listener.router.core_load.is_saturated
+        return eviction_rank(
+            self.state, bool(self.responses.slots), is_core_saturated, now, now < self.listener.crowded_until
+        )
+
+    def idle_since(self) -> float | None:
+        """Return the clock time of the last use; None if something is owed or under way."""
+        state = self.state
+        is_busy = self.responses.slots or state.partial_since is not None or state.closing or state.disconnected
+        return None if is_busy or state.framing_lost or state.lingering else state.last_used_at
 
     def evict(self) -> None:
         """Close, as the descriptor is needed for another client; a partial command is answered."""
--- a/starlingthread/net/clients/context.py
+++ b/starlingthread/net/clients/context.py
@@ -37,6 +37,10 @@
     draining: bool  # connections are closed behind their responses
     answer_by: float  # clock time by which requests that arrive from now on are answered
 
+    @property
+    def crowded_until(self) -> float:
+        """Clock time until which clients that want to connect count as having found no place lately."""
+
     def is_ready(self) -> bool:
         """Return whether the router can serve requests."""
 
--- a/starlingthread/net/clients/eviction.py
+++ b/starlingthread/net/clients/eviction.py
@@ -17,6 +17,9 @@
     def eviction_rank(self, now: float) -> EvictionRank | None:
         """Return the place in the order; None if the connection must stay."""
 
+    def idle_since(self) -> float | None:
+        """Return the clock time of the last use; None if something is owed or under way."""
+
 
 Connection = TypeVar("Connection", bound=Evictable)
 
@@ -27,6 +30,17 @@
     return sorted(ranked, key=lambda pair: pair[0])
 
 
+def least_likely_used_next(connections: set[Connection]) -> Connection | None:
+    """Return the idle connection that its client is least likely to use next; None if there is none.
+
+    Clients' pools take the connection that was used last or the one that was not used for longest, so it is the one in
+    the middle: its client has time to see the close.
+    """
+    idle = [(since, connection) for connection in connections if (since := connection.idle_since()) is not None]
+    idle.sort(key=lambda pair: pair[0])
+    return idle[len(idle) // 2][1] if idle else None
+
+
 class EvictionOrder(Generic[Connection]):
     """Picks the connections to evict one by one, without ranking all of them for each."""
 
--- a/starlingthread/net/clients/idle.py
+++ b/starlingthread/net/clients/idle.py
@@ -10,6 +10,7 @@
 
 MIN_IDLE_MS = 100.0  # since the last response; a client that keeps its connection sends its next command by then
 MIN_IDLE_SATURATED_MS = 500.0  # the same while our core is saturated, as clients that wait for us send later
+MIN_IDLE_CROWDED_MS = 500.0  # the same for a client that has used its connection again, while others find no place
 
 
 class EvictionClass(IntEnum):
@@ -35,17 +36,20 @@
 
 
 def eviction_rank(
-    state: ConnectionState, owes_responses: bool, is_core_saturated: bool, now: float
+    state: ConnectionState, owes_responses: bool, is_core_saturated: bool, now: float, is_crowded: bool = False
 ) -> EvictionRank | None:
-    """Return a connection's rank in the order of eviction; None if it must stay."""
+    """Return a connection's rank in the order of eviction; None if it must stay.
+
+    is_crowded: clients find no place, so that one whose request crosses the close may not find another one.
+    """
     if state.lingering:
-        return EvictionRank(EvictionClass.LINGERING, state.last_used_at)
+        return None if state.evicted else EvictionRank(EvictionClass.LINGERING, state.last_used_at)
     if owes_responses or state.closing or state.framing_lost or state.disconnected:
         return None
     if state.partial_since is not None:
         return EvictionRank(_class_of_partial_command(now - state.partial_since), state.partial_since)
     idle_ms = now - state.last_used_at
-    if state.commands and idle_ms < (MIN_IDLE_SATURATED_MS if is_core_saturated else MIN_IDLE_MS):
+    if state.commands and idle_ms < _min_idle_ms(state, is_core_saturated, is_crowded):
         return None  # its client may be about to send the next command
     if not state.commands:
         eviction_class = EvictionClass.SILENT if idle_ms >= SILENT_CONNECTION_MS else EvictionClass.NEW
@@ -54,6 +58,12 @@
     return EvictionRank(eviction_class, state.last_used_at)
 
 
+def _min_idle_ms(state: ConnectionState, is_core_saturated: bool, is_crowded: bool) -> float:
+    if is_core_saturated:
+        return MIN_IDLE_SATURATED_MS
+    return MIN_IDLE_CROWDED_MS if is_crowded and state.commands > 1 else MIN_IDLE_MS
+
+
 def _class_of_partial_command(age_ms: float) -> EvictionClass:
     """Guards against crowds that send half a command: they held all descriptors until their time was up."""
     if age_ms >= STALLED_COMMAND_MS:
--- /dev/null
+++ b/starlingthread/net/clients/room.py
@@ -0,0 +1,141 @@
+"""How many more clients may connect, and which idle ones are evicted for them."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, Protocol
+
+from ...core.clock import Clock
+from ...core.counters import Counters
+from .acceptor import SocketCounts
+from .eviction import EvictionOrder, least_likely_used_next, ranked_connections
+
+if TYPE_CHECKING:
+    from .connection import ClientConnectionActor
+
+CLOSING_SHARE = 1 / 16  # of the clients' descriptors, for connections that are being closed for new ones
+MAX_EXCESS = 4  # connections over the limit that are accepted though the queue is shut: they came up as it was
+SHED_AHEAD_SHARE = 1 / 8  # of the connections, that are evicted at once for clients that can't connect at present
+MIN_IDLE_BEFORE_SHEDDING_MS = 100.0  # an idle connection may go after this when clients exceed the threshold
+FULL_MEMORY_MS = 1000.0  # after the last moment without a place, for which clients count as crowded
+
+
+class RoomContext(Protocol):
+    """The listener, as its room sees it."""
+
+    clock: Clock
+    counters: Counters
+    max_clients: int
+    idle_client_threshold: int
+    connections: set[ClientConnectionActor]
+    sockets: SocketCounts
+
+
+class ConnectionRoom:
+    """The places for connections of one listener."""
+
+    def __init__(self, context: RoomContext) -> None:
+        self._context = context
+        self._eviction: EvictionOrder[ClientConnectionActor] = EvictionOrder()
+        self._leaving = 0  # open connections that are evicted already
+        self._released = 0  # connections released in the present interval
+        self._released_before = 0  # in the one before
+        self.crowded_until = -math.inf  # clock time until which clients count as having found no place lately
+
+    @property
+    def max_connections(self) -> int:
+        """Clients that may stay; the rest of the descriptors is for those being closed."""
+        return self._context.max_clients - int(self._context.max_clients * CLOSING_SHARE)
+
+    @property
+    def free_places(self) -> int:
+        """Connections that may be accepted with nothing evicted; negative if there are too many."""
+        context = self._context
+        staying = len(context.connections) - self._leaving + context.sockets.connecting
+        return self.max_connections - staying
+
+    @property
+    def expected_places(self) -> int:
+        """Connections that find a place soon: as many as are free, and as many as were released lately.
+
+        Those that were evicted are counted if they sent one command at most, as such clients come and go.
+        """
+        return max(0, self.free_places) + self._released_before
+
+    def note_full(self) -> None:
+        """Note that no client can connect at present."""
+        self.crowded_until = self._context.clock.now() + FULL_MEMORY_MS
+
+    def begin_interval(self) -> None:
+        """Begin to count released connections anew; called every IDLE_CHECK_INTERVAL_MS."""
+        self._released_before, self._released = self._released, 0
+
+    def on_closed(self, actor: ClientConnectionActor) -> None:
+        """Take a connection out that has ended."""
+        if actor in self._context.connections:
+            self._context.connections.discard(actor)
+            if actor.state.evicted:
+                self._leaving -= 1
+            else:
+                self._released += 1
+
+    # making room
+
+    def make(self, is_queue_shut: bool) -> bool:
+        """Return whether there is room for one more connection, after evicting one if that is needed.
+
+        is_queue_shut: the connection was established as the queue was being shut, so that few more can follow.
+        """
+        context = self._context
+        if context.sockets.open >= context.max_clients:
+            return False
+        excess = MAX_EXCESS if is_queue_shut else 0
+        return self.free_places + excess > 0 or self.evict_one()
+
+    def evict_one(self) -> bool:
+        """Evict the least useful idle connection; return whether there was one. Guards the descriptor limit.
+
+        Clients that open connections and send nothing lose them to those that send commands.
+        """
+        context = self._context
+        candidate = self._eviction.next_candidate(context.connections, context.clock.now(), context.max_clients)
+        if candidate is None:
+            return False
+        self._evict(candidate)
+        return True
+
+    def evict_any(self) -> bool:
+        """Evict an idle connection, however short it has been idle; return whether there was one.
+
+        For a connection that has waited in the queue for too long: its request would be lost for certain.
+        """
+        candidate = least_likely_used_next(self._context.connections)
+        if candidate is None:
+            return False
+        self._evict(candidate)
+        return True
+
+    def shed_ahead(self) -> None:
+        """Evict some idle connections before others ask for their places, as the queue is shut and none can ask."""
+        wanted = int(self.max_connections * SHED_AHEAD_SHARE)
+        while self.free_places < wanted and self.evict_one():
+            pass
+
+    def shed_idle(self, now: float) -> None:
+        """Evict what is idle longest before clients hold all descriptors they may.
+
+        Guards against clients that keep a connection each for good: active ones would find none left, and
+        we would not learn of it.
+        """
+        context = self._context
+        ranked = ranked_connections(context.connections, now)
+        for rank, actor in ranked[: max(0, len(context.connections) - context.idle_client_threshold)]:
+            if now - rank.since >= MIN_IDLE_BEFORE_SHEDDING_MS:
+                self._evict(actor)
+
+    def _evict(self, actor: ClientConnectionActor) -> None:
+        self._context.counters.increment("clients.evicted")
+        if not actor.state.evicted:
+            self._leaving += 1
+            self._released += actor.state.commands <= 1
+        actor.evict()
