Move the key table and the affinity counts' arithmetic from policy/ to state/records.py

Change: KeyTable (least recently used key first, bounded), the decay of an AffinityCount and what a request, a hit or a miss adds to it are records without I/O, clock or decision, so they are in state/records.py beside KeyState. Which counts are in use, the owners and the prior hit probabilities stay in policy/affinity.py. Dispatcher no longer needs Affinity.

The unit part of the suite, one file after another: all 66 files passed, no test changed; left out: test_past_capacity_process, test_soak, test_end_to_end, test_upgrade, test_load_evenness_process.

--- a/starlingthread/policy/balancer.py
+++ b/starlingthread/policy/balancer.py
@@ -53,7 +53,7 @@
         self.hedging = Hedging(self.choice, self.admission)
         self.waiting = WaitingRequests(self.fleet)
         self.completion = Completion(self.affinity, self.gate, self.waiting)
-        self.dispatcher = Dispatcher(self.affinity, self.gate, self.hedging, self.completion, self.waiting)
+        self.dispatcher = Dispatcher(self.gate, self.hedging, self.completion, self.waiting)
         self.outcomes = OutcomeLearning(self.affinity, self.gate, self.hedging.budget)
         self.polling = EndpointPolling(self.fleet)
 
--- a/starlingthread/policy/dispatch.py
+++ b/starlingthread/policy/dispatch.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from ..state.records import RequestState, Server
-from .affinity import Affinity
 from .attempt_gate import AttemptGate
 from .completion import Completion
 from .hedging import Hedging
@@ -18,13 +17,11 @@
 
     def __init__(
         self,
-        affinity: Affinity,
         gate: AttemptGate,
         hedging: Hedging,
         completion: Completion,
         waiting: WaitingRequests,
     ) -> None:
-        self.affinity = affinity
         self.gate = gate
         self.hedging = hedging
         self.completion = completion
@@ -58,7 +55,7 @@
             return
         self.hedging.watch(now, state, state.owner_group is None)
         if step.key_state is not None:
-            self.affinity.count_request(now, step.key_state, step.server.endpoint.server)
+            step.key_state.count_request(now, step.server.endpoint.server)
 
     def _fetch(self, now: float, state: RequestState, step: FetchFromOrigin) -> None:
         key_state = step.key_state
@@ -66,4 +63,4 @@
             return
         key_state.fetching_request = state.request.id
         for number in state.missed_servers[:MAX_FILLED_SERVERS]:
-            self.affinity.count_hit(now, key_state, number)
+            key_state.count_hit(now, number)
--- a/starlingthread/policy/hedging.py
+++ b/starlingthread/policy/hedging.py
@@ -111,7 +111,7 @@
         """Send a second attempt to another server, if there is one."""
         state.failed_servers.append(attempt.server)
         key = state.request.key
-        key_state = self.affinity.key_state(now, key) if key else None
+        key_state = self.affinity.keys.get_or_add(now, key) if key else None
         server = self.choice.choose(now, state, key_state)
         if server is not None and self.gate.send(now, state, server):
             self.budget.tokens -= 1
--- a/starlingthread/policy/load_estimate.py
+++ b/starlingthread/policy/load_estimate.py
@@ -10,11 +10,10 @@
 from ..limits.service_times import ServiceTimes
 from ..limits.slow_start import ServedRate
 from ..state.fleet import Fleet
-from ..state.records import RequestState, Server
+from ..state.records import COUNT_HALF_LIFE, RequestState, Server
 
 FETCH_SHARE = 0.15  # of the latency objective: first estimate of an origin fetch's time
 LATE_FETCH = 0.9  # of the latency objective; a slower fetch is worth nothing: the origin is overloaded
-HALF_LIFE = 10000.0  # ms; half-life of counts: about as long as a cache keeps a value without requests
 LIKELY = 0.5  # probability above which a hit is taken for granted
 FETCH_TIMEOUTS = 2.0  # typical fetch times after which an error is taken for the origin's
 FETCH_RESULTS = frozenset((AttemptResult.OK, AttemptResult.ERROR, AttemptResult.TIMEOUT))
@@ -33,7 +32,7 @@
         self.origin_throttle = OriginThrottle(min(c.latency_objective for c in classes) * FETCH_SHARE)
         self.service_times = ServiceTimes(classes)
         self.apply_settings()
-        self.served_rate = ServedRate(HALF_LIFE)
+        self.served_rate = ServedRate(COUNT_HALF_LIFE)
 
     def apply_settings(self) -> None:
         """Apply changed settings; service times learned for a class stay with its name."""
--- a/starlingthread/policy/outcomes.py
+++ b/starlingthread/policy/outcomes.py
@@ -61,11 +61,11 @@
         is_hit = event.result == AttemptResult.OK and event.cache_status != CacheStatus.MISS
         if state.owner_group is not None:
             self.affinity.update_prior(state.owner_group, is_hit)
-        key_state = self.affinity.key_state(now, key)
+        key_state = self.affinity.keys.get_or_add(now, key)
         if is_hit:
-            self.affinity.count_hit(now, key_state, server.endpoint.server)
+            key_state.count_hit(now, server.endpoint.server)
         else:
-            self.affinity.count_miss(now, key_state, server.endpoint.server, fetch_failed)
+            key_state.count_miss(now, server.endpoint.server, fetch_failed)
 
     def _adjust_limits(
         self, now: float, state: RequestState, server: Server, event: Outcome, attempt: AttemptRecord
--- a/starlingthread/policy/routing.py
+++ b/starlingthread/policy/routing.py
@@ -102,7 +102,7 @@
         if self._bypasses_caches(state):
             return SendToOrigin(self.fleet.origin) if self.fleet.origin else GIVE_UP
         key = state.request.key
-        key_state = self.affinity.key_state(now, key) if key else None
+        key_state = self.affinity.keys.get_or_add(now, key) if key else None
         if state.missed_servers:
             return self._fetch(now, state, key_state)
         server = self.choice.choose(now, state, key_state)
--- a/starlingthread/policy/server_choice.py
+++ b/starlingthread/policy/server_choice.py
@@ -8,7 +8,7 @@
 from ..balance.load import CORES
 from ..balance.rendezvous import Owner
 from ..settings import RequestClass
-from ..state.records import AffinityCount, KeyState, OwnerGroup, RequestState, Server
+from ..state.records import NO_COUNT, AffinityCount, KeyState, OwnerGroup, RequestState, Server
 from .affinity import OWNER_COUNT, Affinity
 from .attempt_gate import AttemptGate
 
@@ -37,7 +37,6 @@
 
 SAMPLED = Candidate(SAMPLED_AFFINITY, None)
 FLEET_OWNERS = tuple(Candidate(OWNER_AFFINITY * 0.5**rank, OwnerGroup.FLEET) for rank in range(OWNER_COUNT))
-NO_COUNT = AffinityCount(0.0, 0.0, 0.0)
 WORST_SCORE: Score = (True, math.inf)
 
 
--- a/starlingthread/state/records.py
+++ b/starlingthread/state/records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import OrderedDict
 from enum import IntEnum
 from typing import NamedTuple
 
@@ -15,6 +16,12 @@
 from ..limits.slow_start import SlowStartBudget
 from ..settings import RequestClass
 
+COUNT_HALF_LIFE = 10000.0  # ms; of counts: about as long as a cache keeps a value without requests
+HIT_BIAS_GAIN = 0.5  # how far one observed hit or miss moves the hit bias
+MAX_KEYS = 20000  # keys with counts; bounds memory, far above what one router sees in a cache's lifetime
+KEY_LIFETIME = 35000.0  # ms; the counts of a key without requests for so long have faded
+MAX_EVICTIONS = 2  # for each new key: the table shrinks again after a crowd of keys
+
 
 class OwnerGroup(IntEnum):
     """The group of owners for which a server was chosen that has no affinity count for the key yet."""
@@ -48,6 +55,14 @@
     updated_at: float
     hit_bias: float  # from observed hits and misses: -1 (missed lately) to 1 (hit lately)
 
+    def at(self, now: float) -> AffinityCount:
+        """Return the count decayed up to now."""
+        request_count = self.request_count * math.exp2((self.updated_at - now) / COUNT_HALF_LIFE)
+        return AffinityCount(request_count, now, self.hit_bias)
+
+
+NO_COUNT = AffinityCount(0.0, 0.0, 0.0)
+
 
 class Server:
     """What this router knows of one server."""
@@ -93,6 +108,48 @@
         self.fetching_request = 0  # id of the request whose fetch from the origin is in flight
         self.waiting: list[RequestState] = []  # requests that wait for that fetch
 
+    def count_request(self, now: float, server: int) -> None:
+        """Count a request for the key that was sent to a server."""
+        self._update(now, server, 1.0, 0.0)
+
+    def count_hit(self, now: float, server: int) -> None:
+        """Note that a server has the key cached, or is about to."""
+        self._update(now, server, 0.0, 1.0)
+
+    def count_miss(self, now: float, server: int, fetch_failed: bool) -> None:
+        """Note that a server did not have the key cached; take back its count if the fetch failed as well."""
+        self._update(now, server, -1.0 if fetch_failed else 0.0, -1.0)
+
+    def _update(self, now: float, server: int, added: float, observed: float) -> None:
+        """Add to a count, and move the hit bias towards what was observed (0: nothing)."""
+        request_count, _, hit_bias = self.counts.get(server, NO_COUNT).at(now)
+        if observed:
+            hit_bias += (observed - hit_bias) * HIT_BIAS_GAIN
+        self.counts[server] = AffinityCount(max(0.0, request_count + added), now, hit_bias)
+
+
+class KeyTable(OrderedDict[int, KeyState]):
+    """The states of the keys requested lately, by key, the least recently used one first."""
+
+    def get_or_add(self, now: float, key: int) -> KeyState:
+        """Return the state of a key that is requested now, a new one if it has none."""
+        state = self.get(key)
+        if state is None:
+            state = self[key] = KeyState()
+            self._evict(now)
+        else:
+            self.move_to_end(key)
+        state.used_at = now
+        return state
+
+    def _evict(self, now: float) -> None:
+        for _ in range(MAX_EVICTIONS):
+            key, state = next(iter(self.items()))
+            is_expired = len(self) > MAX_KEYS or now - state.used_at > KEY_LIFETIME
+            if not is_expired or state.waiting or state.fetching_request:
+                break
+            del self[key]
+
 
 class RequestState:
     """A request that is owed an answer, or whose attempts are still in flight."""
