Move the attempts out of the router's actor into core/attempts.py

Need: core/router.py held the attempts (start, deadlines, outcome, cancelling) beside the actor's turns, requests, settings and the carrying out of actions.

Change: class Attempts in core/attempts.py has them. Attempts.on_ended is the one place that accepts the outcome of an attempt; RequestTable.finish stays the one place that gives a final answer. The actor keeps the rest; Router.fleet is a property, as the cache servers are set after the router is created and only the attempts keep them.

The unit part of the suite, one file after another: all 66 files passed; left out: test_past_capacity_process, test_soak, test_end_to_end, test_upgrade, test_load_evenness_process. Besides, 60 random plays of 300 steps on tests/router_harness.py (outcomes, late ones, streamed values, disconnects, changed settings, stray actions) gave the same attempts, answers, counters and random state before and after; 3,722 attempts started, 3,208 late outcomes.

--- a/starlingthread/core/router.py
+++ b/starlingthread/core/router.py
@@ -1,7 +1,7 @@
 """The router's actor: feeds the decision module with events and carries out its actions.
 
-It guarantees one outcome per attempt and one final answer per request, whatever the module decides. It knows no
-dialect: the payloads of requests and answers pass through it unread.
+Whatever the module decides, each attempt has one outcome (core/attempts.py) and each request one final answer
+(core/request_table.py). The router knows no dialect: the payloads of requests and answers pass through it unread.
 """
 
 from __future__ import annotations
@@ -23,7 +23,6 @@
     WatchEndpoints,
 )
 from ..events import (
-    AttemptResult,
     EndpointListKind,
     Event,
     Outcome,
@@ -35,6 +34,7 @@
 from ..logs import log
 from ..policy import Balancer
 from ..settings import Settings
+from .attempts import Attempts
 from .clock import Clock
 from .core_load import CoreLoad
 from .counters import Counters
@@ -43,7 +43,6 @@
 from .mailbox import Mailbox
 from .messages import (
     Answer,
-    Attempt,
     AttemptEnded,
     BodyReceived,
     ClientDisconnected,
@@ -53,7 +52,6 @@
     PendingRequest,
     Rejected,
     RequestReceived,
-    Served,
 )
 from .ports import CacheServers, Discovery, Peers
 from .request_table import RequestTable
@@ -77,15 +75,23 @@
         self.mailbox: Mailbox[Message] = Mailbox(MAILBOX_LIMIT)
         self.discovery_reached = asyncio.Event()  # a list has come from discovery itself, not from the configuration
         self.listed = False  # a list with at least one server has reached the module
-        self.fleet: CacheServers
         self.discovery: Discovery
         self.peers: Peers
         self._table = RequestTable(deadlines, counters, self.telemetry)
         self.requests = self._table.requests
-        self.attempts = self._table.attempts
         self._class_indexes = _class_indexes(settings)
         self._timer = DeadlineTimer(clock, deadlines, self.mailbox.wake)
         self.core_load = CoreLoad(self.balancer, clock, deadlines, counters, self.telemetry)
+        self.attempts = Attempts(self._table, self.core_load, self.mailbox, clock, deadlines, counters, self._decide)
+
+    @property
+    def fleet(self) -> CacheServers:
+        """The connections to the cache servers; they are set once the router is there, as they need its mailbox."""
+        return self.attempts.fleet
+
+    @fleet.setter
+    def fleet(self, fleet: CacheServers) -> None:
+        self.attempts.fleet = fleet
 
     # turns
 
@@ -114,7 +120,7 @@
             case RequestReceived():
                 self._on_request(message.request)
             case AttemptEnded():
-                self._on_attempt_ended(message)
+                self.attempts.on_ended(message)
             case BodyReceived():
                 self._on_body(message.request, message.deadline)
             case ClientDisconnected():
@@ -221,11 +227,7 @@
         now = self.clock.now()
         request.deadline = deadline
         self._set_request_deadline(request)
-        for attempt in self.attempts.get(request.id, ()):
-            if attempt.pending:
-                attempt.sent_at = now
-                attempt.idle_time_before = self.core_load.idle_time()
-                self._set_attempt_deadline(attempt, deadline)
+        self.attempts.on_body_received(request, now)
 
     def _on_overdue(self, request: PendingRequest) -> None:
         """Answer a request that the module has forgotten."""
@@ -249,83 +251,6 @@
             self._decide(RequestCancelled(request.id))
             self._table.remove_if_done(request)
 
-    # attempts
-
-    def _start_attempt(self, action: Send) -> None:
-        now = self.clock.now()
-        request = self.requests.get(action.id)
-        if request is None:
-            self.counters.increment("attempts.unknown_request")
-            return
-        deadline = min(now + action.timeout, request.deadline) if action.timeout else request.deadline
-        idle_time = self.core_load.idle_time()
-        attempt = Attempt(
-            request, request.attempts_started, action.server, now, idle_time, deadline, action.write_deadline
-        )
-        self.attempts[request.id].append(attempt)
-        request.attempts_started += 1
-        request.attempts_in_flight += 1
-        if request.finished or request.cancelled or request.attempts_started > self.settings.max_attempts:
-            self.mailbox.must_put(AttemptEnded(attempt, AttemptResult.NOT_SENT))
-            return
-        self.counters.increment("attempts.started")
-        self._set_attempt_deadline(attempt, deadline)
-        self.fleet.start(attempt)
-
-    def _set_attempt_deadline(self, attempt: Attempt, deadline: float) -> None:
-        self.deadlines.clear(attempt.timeout_timer)
-        attempt.deadline = deadline
-        attempt.timeout_timer = self.deadlines.set(deadline, lambda: self._on_timeout(attempt))
-
-    def _on_timeout(self, attempt: Attempt) -> None:
-        self._on_attempt_ended(AttemptEnded(attempt, AttemptResult.TIMEOUT), abandon=True)
-
-    def _on_attempt_ended(self, message: AttemptEnded, abandon: bool = False) -> None:
-        """Record the one outcome of an attempt: the one place that does. Later ones are dropped."""
-        attempt = message.attempt
-        if not attempt.pending:
-            self.counters.increment("attempts.late_outcomes")
-            if message.pipe is not None:
-                message.pipe.abandon()
-            return
-        attempt.pending = False
-        self.deadlines.clear(attempt.timeout_timer)
-        if abandon:
-            self.fleet.abandon(attempt)
-        self.counters.increment(f"attempts.{message.result.name.lower()}")
-        request = attempt.request
-        request.attempts_in_flight -= 1
-        if message.result == AttemptResult.OK:
-            if message.pipe is not None and request.finished:
-                message.pipe.abandon()
-            self._table.finish(request, Served(message.payload, message.pipe))
-        self._decide(self._outcome(message))
-        self._table.remove_if_done(request)
-
-    def _outcome(self, message: AttemptEnded) -> Outcome:
-        attempt = message.attempt
-        elapsed = self.clock.now() - attempt.sent_at
-        return Outcome(
-            attempt.request.id,
-            attempt.number,
-            attempt.server,
-            message.result,
-            elapsed,
-            attempt.request.finished,
-            message.cache_status,
-            message.load_report,
-            self.core_load.own_delay(elapsed, attempt.idle_time_before),
-        )
-
-    def _cancel_attempt(self, action: Cancel) -> None:
-        attempts = self.attempts.get(action.id, [])
-        if action.attempt >= len(attempts):
-            return
-        attempt = attempts[action.attempt]
-        if attempt.pending:
-            self.fleet.abandon(attempt)
-            self.mailbox.must_put(AttemptEnded(attempt, AttemptResult.CANCELLED))
-
     # actions
 
     def _execute(self, actions: list[Action]) -> None:
@@ -335,13 +260,13 @@
     def _execute_one(self, action: Action) -> None:
         match action:
             case Send():
-                self._start_attempt(action)
+                self.attempts.start(action, self.settings.max_attempts)
             case Reject():
                 self._answer(action.id, Rejected(action.retry_after))
             case Fail():
                 self._answer(action.id, Failed())
             case Cancel():
-                self._cancel_attempt(action)
+                self.attempts.cancel(action)
             case SetTimer():
                 self.deadlines.set(action.at, lambda: self._decide(Timer(action.label)))
             case HealthCheck():
--- a/tests/test_client_disconnects.py
+++ b/tests/test_client_disconnects.py
@@ -104,7 +104,7 @@
         async with running_router(tmp_path, 2) as harness:
             client, _ = await request_at_any_server(harness)
             (request,) = harness.router.requests.values()
-            (attempt,) = harness.router.attempts[request.id]
+            (attempt,) = harness.router.attempts.by_request[request.id]
             (actor,) = harness.program.actors.clients.connections
             harness.router.mailbox.must_put(AttemptEnded(attempt, AttemptResult.RESET))
             actor.on_disconnect()
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -35,7 +35,7 @@
     request = harness.submit_request()
     harness.deliver(AttemptEnded(harness.started[0], AttemptResult.OK, payload=b"value"))
     assert harness.answers == [(request, Served(b"value"))]
-    assert not harness.router.requests and not harness.router.attempts
+    assert not harness.router.requests and not harness.router.attempts.by_request
 
 
 def test_a_late_outcome_is_dropped_and_an_abandoned_attempt_has_one_outcome() -> None:
