Queue connections for free places only, and count each of them once

Cause: the accept queue counted on as many places as were released in the last 100 ms. When requests became slow these did not come, and what waited for 100 ms had an idle connection evicted; that wait was never over, so each accept evicted one from then on, and their clients' requests crossed the close. A connection counted as being set up and as a connection for a turn. The queue was not limited anew when an upgrade halves the descriptors, nor without any.

Change: free places only, within the descriptors that are really free; the wait ends when room is found; one count; the limit follows an upgrade and EMFILE; the listening socket is polled before room is made for a connection; the queue's limit is exact, no longer rounded; the first look for idle connections is at once. Connections are counted as leaving by name, not by number.

--- a/starlingthread/net/clients/accept_loop.py
+++ b/starlingthread/net/clients/accept_loop.py
@@ -16,7 +16,7 @@
 from .acceptor import Acceptor, OnConnection, SocketCounts
 from .room import ConnectionRoom
 
-ROOM_CHECK_INTERVAL_MS = 20.0  # between checks for places while clients can't connect or wait in the queue
+ROOM_CHECK_INTERVAL_MS = 40.0  # between checks for places while clients can't connect or wait in the queue
 MAX_QUEUE_WAIT_MS = 100.0  # without room, after which any idle connection is evicted for a queued one
 MAX_FINAL_ACCEPT_ROUNDS = 1000  # checks for queued connections before the listening socket is closed
 QUIET_ACCEPT_ROUNDS = 2  # turns of the loop without any after which those accepted have become connections
@@ -53,12 +53,19 @@
         self._listening = listening
         self._queue = AcceptQueue(listening, context.counters, is_shared)
         self._room_check: Deadline | None = None
-        self._no_room_since = -math.inf  # clock time from which on a queued connection has found no room
-        self._no_room_at = -math.inf  # clock time of the last attempt to accept it
+        self._checked_room_at = -math.inf  # clock time
+        self._waiting_since: float | None = None  # clock time from which on a queued connection has found no room
         self._is_ending = False
         self.limit_queue()
         self._acceptor = Acceptor(
-            listening.dup(), on_connection, self._has_room, context.sockets, context.supervisor, context.counters
+            listening.dup(),
+            on_connection,
+            self._has_room,
+            context.sockets,
+            context.supervisor,
+            context.counters,
+            self._on_exhausted,
+            self._on_released,
         )
 
     def close(self) -> None:
@@ -69,13 +76,15 @@
     # the queue
 
     def limit_queue(self, accepting: int = 0) -> None:
-        """Let clients connect for the places that are expected, less those for connections accepted just now."""
-        self._queue.set_limit(0 if self._is_ending else self._room.expected_places - accepting)
+        """Let clients connect for the places that are free, less those for connections accepted just now."""
+        places = self._room.free_places - accepting
+        self._queue.set_limit(0 if self._is_ending else places)
         if self._queue.is_shut:
-            self._room.note_full()
             self._schedule_room_check()
+        if places <= 0:
+            self._room.note_full()
 
-    def on_connection_closed(self) -> None:
+    def _on_released(self) -> None:
         """Let clients connect again at once, if a place has become free."""
         if self._queue.is_shut:
             self.limit_queue()
@@ -83,38 +92,47 @@
     # room
 
     def _has_room(self) -> bool:
-        """Return whether one more queued connection may be accepted; if not, check again before long."""
+        """Return whether a queued connection may be accepted; if not, check again before long."""
         if self._room.make(self._queue.is_shut) or self._make_room_for_overdue():
+            self._waiting_since = None
             self.limit_queue(accepting=1)
             return True
-        now = self._context.clock.now()
-        if now - self._no_room_at > MAX_QUEUE_WAIT_MS:
-            self._no_room_since = now
-        self._no_room_at = now
+        if self._waiting_since is None:
+            self._waiting_since = self._context.clock.now()
         self._context.counters.increment("clients.accept_paused")
         self._schedule_room_check()
         return False
 
     def _make_room_for_overdue(self) -> bool:
         """Evict any idle connection for one that has waited in the queue for long, as its request is taken."""
+        if self._context.sockets.open >= self._context.max_clients:
+            return False
         now = self._context.clock.now()
-        is_waiting = now - self._no_room_at <= MAX_QUEUE_WAIT_MS
-        is_overdue = is_waiting and now - self._no_room_since >= MAX_QUEUE_WAIT_MS
-        has_descriptor = self._context.sockets.open < self._context.max_clients
-        return (is_overdue or self._is_ending) and has_descriptor and self._room.evict_any()
+        is_overdue = self._waiting_since is not None and now - self._waiting_since >= MAX_QUEUE_WAIT_MS
+        return (is_overdue or self._is_ending) and self._room.evict_any()
+
+    def _on_exhausted(self) -> None:
+        """Let no more clients connect until the system has descriptors again."""
+        self._queue.set_limit(0)
+        self._schedule_room_check()
 
     def _schedule_room_check(self) -> None:
         if self._room_check is None:
-            due = self._context.clock.now() + ROOM_CHECK_INTERVAL_MS
+            due = self._checked_room_at + ROOM_CHECK_INTERVAL_MS
             self._room_check = self._context.deadlines.set(due, self._check_room)
 
     def _check_room(self) -> None:
         """Look for places while clients can't connect, or while connections wait in the queue."""
         self._room_check = None
+        self._checked_room_at = self._context.clock.now()
         if self._queue.is_shut:
             self._room.shed_ahead()
             self.limit_queue()
-        self._acceptor.resume()
+        if self._acceptor.is_paused:
+            self._acceptor.resume()
+            self._schedule_room_check()
+        else:
+            self._waiting_since = None  # nothing is queued
 
     # the end
 
--- a/starlingthread/net/clients/accept_queue.py
+++ b/starlingthread/net/clients/accept_queue.py
@@ -15,9 +15,8 @@
 
 MAX_BACKLOG = 1024  # connections that the system may queue for us at most
 MIN_BACKLOG = 1  # with 0 a system without SYN cookies establishes none at all
-EXACT_BELOW = 32  # connections; a longer limit is rounded down to a multiple of ROUNDING
-ROUNDING = 16  # connections; so that not each accepted one needs a system call
-RAISE_RATIO = 1.5  # of the limit in force, above which a new one replaces it
+RAISE_RATIO = 1.5  # of the limit in force, above which a higher one replaces it
+MIN_RAISE = 16  # connections, by which it replaces it too; so that not each connection's end needs a system call
 
 
 class AcceptQueue:
@@ -40,8 +39,8 @@
 
     def set_limit(self, places: int) -> None:
         """Let the queue grow to this many connections; those that it holds already stay."""
-        limit = _rounded(max(0, min(places, MAX_BACKLOG)))
-        if self._limit is None or self._is_shared or limit < self._limit or limit > RAISE_RATIO * self._limit:
+        limit = max(0, min(places, MAX_BACKLOG))
+        if self._limit is None or self._is_shared or limit < self._limit or self._is_raised(limit, self._limit):
             self._apply(limit)
 
     def _apply(self, limit: int) -> None:
@@ -58,6 +57,6 @@
             self._counters.increment("clients.queue_shut")
         drop_syns(self._listening)
 
-
-def _rounded(limit: int) -> int:
-    return limit if limit < EXACT_BELOW else limit - limit % ROUNDING
+    @staticmethod
+    def _is_raised(limit: int, limit_in_force: int) -> bool:
+        return limit > RAISE_RATIO * limit_in_force or limit >= limit_in_force + MIN_RAISE
--- a/starlingthread/net/clients/acceptor.py
+++ b/starlingthread/net/clients/acceptor.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import errno
+import select
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -44,8 +45,14 @@
         counts: SocketCounts,
         supervisor: TaskSupervisor,
         counters: Counters,
+        on_exhausted: Callable[[], None] = lambda: None,
+        on_released: Callable[[], None] = lambda: None,
     ) -> None:
-        """Begin to accept; ``listening`` is owned by the acceptor from now on."""
+        """Begin to accept; ``listening`` is owned by the acceptor from now on.
+
+        has_room: called for each queued connection before it is accepted; on_exhausted: called when the system has no
+        descriptor or no memory for one; on_released: called when a socket is released.
+        """
         listening.setblocking(False)
         self._listening = listening
         self._on_connection = on_connection
@@ -53,7 +60,11 @@
         self._counts = counts
         self._supervisor = supervisor
         self._counters = counters
+        self._on_exhausted = on_exhausted
+        self._on_released = on_released
         self._loop = asyncio.get_running_loop()
+        self._queued = select.poll()
+        self._queued.register(listening.fileno(), select.POLLIN)
         self._is_reading = False
         self._is_closed = False
         self.resume()
@@ -86,6 +97,7 @@
                 raise
             self._counters.increment("clients.accept_failed")
             self._pause()
+            self._on_exhausted()
             self._loop.call_later(RETRY_DELAY_S, self.resume)
             return None
         sock.setblocking(False)
@@ -104,6 +116,8 @@
 
     def _accept_queued(self) -> None:
         for _ in range(MAX_ACCEPTS_PER_TURN):
+            if not self._queued.poll(0):
+                return
             if not self._has_room():
                 self._pause()
                 return
@@ -115,21 +129,26 @@
 
     async def _connect(self, sock: socket.socket) -> None:
         def create_protocol() -> AcceptedProtocol:
-            return AcceptedProtocol(self._on_connection, self._on_connection_lost)
+            return AcceptedProtocol(self._on_connected, self._on_connection_lost)
 
         try:
             await self._loop.connect_accepted_socket(create_protocol, sock)
         except BaseException:
+            self._counts.connecting -= 1
             self.discard(sock)
             raise
-        finally:
-            self._counts.connecting -= 1
+
+    def _on_connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._counts.connecting -= 1  # before it counts as a connection
+        self._on_connection(reader, writer)
 
     def _on_connection_lost(self) -> None:
         self._loop.call_soon(self._release)  # the transport closes its socket right after it has told us
 
     def _release(self) -> None:
         self._counts.open -= 1
+        if not self._is_closed:
+            self._on_released()
         self.resume()
 
 
--- a/starlingthread/net/clients/eviction.py
+++ b/starlingthread/net/clients/eviction.py
@@ -48,11 +48,6 @@
         self._candidates: list[Connection] = []  # the first to go at the end
         self._ranked_at = -math.inf  # clock time
 
-    def has_candidates(self, connections: set[Connection], now: float, max_clients: int) -> bool:
-        """Return whether any connection may be evicted now."""
-        self._rank(connections, now, max_clients)
-        return bool(self._candidates)
-
     def next_candidate(self, connections: set[Connection], now: float, max_clients: int) -> Connection | None:
         """Return the least useful connection that may be evicted, None if there is none."""
         if now - self._ranked_at > RANKING_LIFE_MS or not self._candidates:
--- a/starlingthread/net/clients/listener.py
+++ b/starlingthread/net/clients/listener.py
@@ -72,6 +72,13 @@
         self.room = ConnectionRoom(self)
         self._paused: set[PausedConnection] = set()  # whose ends have to be polled for
 
+    def apply_limits(self, max_clients: int, idle_client_threshold: int) -> None:
+        """Take in how many descriptors clients may hold, at first or as another process takes a share of them."""
+        self.max_clients = max_clients
+        self.idle_client_threshold = idle_client_threshold
+        if self._accept_loop is not None:
+            self._accept_loop.limit_queue()
+
     def apply_settings(self, settings: Settings) -> None:
         """Take in settings, the first or new ones."""
         self.classes = {cls.name: cls for cls in settings.classes}
@@ -114,7 +121,7 @@
             return
         limit_read_size(writer, READ_BYTES)
         disable_nagle(writer)
-        actor = ClientConnectionActor(self, reader, writer, self._on_closed)
+        actor = ClientConnectionActor(self, reader, writer, self.room.on_closed)
         self.connections.add(actor)
         protocol = writer.transport.get_protocol()
         if isinstance(protocol, DisconnectAwareProtocol):
@@ -122,11 +129,6 @@
             protocol.consume = actor.early_rejector.consume
         self.supervisor.start(actor.run(), "client", lambda _: actor.close())
 
-    def _on_closed(self, actor: ClientConnectionActor) -> None:
-        self.room.on_closed(actor)
-        if self._accept_loop is not None:
-            self._accept_loop.on_connection_closed()
-
     # disconnects
 
     def watch_for_disconnect(self, connection: PausedConnection) -> None:
@@ -151,7 +153,6 @@
         for actor in list(self.connections):
             actor.check_idle(now, crowded)
         self.room.shed_idle(now)
-        self.room.begin_interval()
         if self._accept_loop is not None:
             self._accept_loop.limit_queue()
         self.deadlines.set(now + IDLE_CHECK_INTERVAL_MS, self._check_idle_connections)
--- a/starlingthread/net/clients/room.py
+++ b/starlingthread/net/clients/room.py
@@ -15,7 +15,7 @@
 
 CLOSING_SHARE = 1 / 16  # of the clients' descriptors, for connections that are being closed for new ones
 MAX_EXCESS = 4  # connections over the limit that are accepted though the queue is shut: they came up as it was
-SHED_AHEAD_SHARE = 1 / 8  # of the connections, that are evicted at once for clients that can't connect at present
+SHED_AHEAD_SHARE = 1 / 4  # of the connections, that are evicted at once for clients that can't connect at present
 MIN_IDLE_BEFORE_SHEDDING_MS = 100.0  # an idle connection may go after this when clients exceed the threshold
 FULL_MEMORY_MS = 1000.0  # after the last moment without a place, for which clients count as crowded
 
@@ -37,9 +37,7 @@
     def __init__(self, context: RoomContext) -> None:
         self._context = context
         self._eviction: EvictionOrder[ClientConnectionActor] = EvictionOrder()
-        self._leaving = 0  # open connections that are evicted already
-        self._released = 0  # connections released in the present interval
-        self._released_before = 0  # in the one before
+        self._leaving: set[ClientConnectionActor] = set()  # open, and evicted already
         self.crowded_until = -math.inf  # clock time until which clients count as having found no place lately
 
     @property
@@ -49,35 +47,27 @@
 
     @property
     def free_places(self) -> int:
-        """Connections that may be accepted with nothing evicted; negative if there are too many."""
-        context = self._context
-        staying = len(context.connections) - self._leaving + context.sockets.connecting
-        return self.max_connections - staying
+        """Connections that may be accepted with nothing evicted."""
+        free_descriptors = self._context.max_clients - self._context.sockets.open
+        return max(0, min(self.max_connections - self._staying, free_descriptors))
 
     @property
-    def expected_places(self) -> int:
-        """Connections that find a place soon: as many as are free, and as many as were released lately.
-
-        Those that were evicted are counted if they sent one command at most, as such clients come and go.
-        """
-        return max(0, self.free_places) + self._released_before
+    def _staying(self) -> int:
+        context = self._context
+        return len(context.connections) - len(self._leaving) + context.sockets.connecting
 
     def note_full(self) -> None:
         """Note that no client can connect at present."""
         self.crowded_until = self._context.clock.now() + FULL_MEMORY_MS
 
-    def begin_interval(self) -> None:
-        """Begin to count released connections anew; called every IDLE_CHECK_INTERVAL_MS."""
-        self._released_before, self._released = self._released, 0
-
     def on_closed(self, actor: ClientConnectionActor) -> None:
         """Take a connection out that has ended."""
-        if actor in self._context.connections:
-            self._context.connections.discard(actor)
-            if actor.state.evicted:
-                self._leaving -= 1
-            else:
-                self._released += 1
+        self._context.connections.discard(actor)
+        self._leaving.discard(actor)
+
+    def on_eviction_undone(self, actor: ClientConnectionActor) -> None:
+        """Count a connection as staying whose client sent a request before it was closed."""
+        self._leaving.discard(actor)
 
     # making room
 
@@ -89,8 +79,9 @@
         context = self._context
         if context.sockets.open >= context.max_clients:
             return False
-        excess = MAX_EXCESS if is_queue_shut else 0
-        return self.free_places + excess > 0 or self.evict_one()
+        if self.free_places > 0 or self.evict_one():
+            return True
+        return is_queue_shut and self._staying < self.max_connections + MAX_EXCESS
 
     def evict_one(self) -> bool:
         """Evict the least useful idle connection; return whether there was one. Guards the descriptor limit.
@@ -117,8 +108,8 @@
 
     def shed_ahead(self) -> None:
         """Evict some idle connections before others ask for their places, as the queue is shut and none can ask."""
-        wanted = int(self.max_connections * SHED_AHEAD_SHARE)
-        while self.free_places < wanted and self.evict_one():
+        allowed = int(self.max_connections * (1 - SHED_AHEAD_SHARE))
+        while self._staying > allowed and self.evict_one():
             pass
 
     def shed_idle(self, now: float) -> None:
@@ -135,7 +126,5 @@
 
     def _evict(self, actor: ClientConnectionActor) -> None:
         self._context.counters.increment("clients.evicted")
-        if not actor.state.evicted:
-            self._leaving += 1
-            self._released += actor.state.commands <= 1
+        self._leaving.add(actor)
         actor.evict()
--- a/starlingthread/net/syn_filter.py
+++ b/starlingthread/net/syn_filter.py
@@ -36,15 +36,11 @@
 _FILTER_OPTION = struct.pack("HL", len(_INSTRUCTIONS), ctypes.addressof(_PROGRAM))
 
 
-def drop_syns(listening: socket.socket) -> bool:
-    """Let no further connection be established; return whether the system can do so."""
-    if sys.platform != "linux":
-        return False
-    try:
-        listening.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, _FILTER_OPTION)
-    except OSError:
-        return False
-    return True
+def drop_syns(listening: socket.socket) -> None:
+    """Let no further connection be established; without effect where the system has no socket filters."""
+    if sys.platform == "linux":
+        with contextlib.suppress(OSError):
+            listening.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, _FILTER_OPTION)
 
 
 def pass_syns(listening: socket.socket) -> None:
