Keep a connection open whose request arrives as it is evicted or closed as idle

Cause: eviction and idle closing set the same flag as a shutdown. A request that lay unread in that moment was served, and the connection closed behind its answer. On a busy core that is the usual order, as deadlines are swept before sockets are read.

Change: both set a flag of their own, ConnectionState.closing_if_idle, which a command that arrives first takes back. A shutdown and an upgrade close behind the answer as before.

--- a/starlingthread/net/clients/connection.py
+++ b/starlingthread/net/clients/connection.py
@@ -25,6 +25,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         on_closed: Callable[[ClientConnectionActor], None],
+        on_eviction_undone: Callable[[ClientConnectionActor], None] = lambda _: None,
     ) -> None:
         self.listener = listener
         self.reader = reader
@@ -40,6 +41,7 @@
         )
         self._response_writer = ResponseWriter(listener, self.state, writer)
         self._on_closed = on_closed
+        self._on_eviction_undone = on_eviction_undone
 
     async def run(self) -> None:
         """Write responses in order until the client has closed, or until we are closing and nothing is owed."""
@@ -67,6 +69,8 @@
         responses = self.responses
         while True:
             responses.collect_ready()
+            if responses.slots:
+                self._stay_open()
             while responses.slots and (ready := responses.slots[0].parts) is not None:
                 await self._response_writer.write(responses.slots[0], ready)
                 if responses.remove_first().closes_connection:
@@ -75,12 +79,23 @@
                 self.state.closing = self.state.closing or self.listener.draining
             if self.state.disconnected:
                 return
-            if self._is_done() and await has_nothing_unread(self.writer, self._is_done):
-                return
+            if self._is_done():
+                if await has_nothing_unread(self.writer, self._is_done):
+                    return
+                self._stay_open()
             await responses.mailbox.wait()
 
     def _is_done(self) -> bool:
-        return self.state.closing and not self.responses.slots and self.state.partial_since is None
+        state = self.state
+        is_closing = state.closing or state.closing_if_idle
+        return is_closing and not self.responses.slots and state.partial_since is None
+
+    def _stay_open(self) -> None:
+        """Don't close for idleness, as a command has arrived: its client's next one would cross the close."""
+        if self.state.closing_if_idle:
+            self.state.closing_if_idle = False
+            self.state.evicted = False
+            self._on_eviction_undone(self)
 
     def on_disconnect(self) -> None:
         """Withdraw all requests at once, as the client has closed, whatever reader and writer wait for just now."""
@@ -105,9 +120,9 @@
                 self.requests.fail_partial_command()
             return
         allowed_ms = SHORT_IDLE_TIMEOUT_MS if crowded or not state.commands else IDLE_TIMEOUT_MS
-        if not state.closing and not self.responses.slots and now - state.last_used_at >= allowed_ms:
+        if not state.is_ending and not self.responses.slots and now - state.last_used_at >= allowed_ms:
             self.listener.counters.increment("clients.idle_closed" if state.commands else "clients.silent_closed")
-            self.close_when_idle()
+            self._close_if_idle()
 
     def _is_reading_paused(self) -> bool:
         """Return whether the rest of a command may be here, but we do not read it."""
@@ -124,8 +139,8 @@
     def idle_since(self) -> float | None:
         """Return the clock time of the last use; None if something is owed or under way."""
         state = self.state
-        is_busy = self.responses.slots or state.partial_since is not None or state.closing or state.disconnected
-        return None if is_busy or state.framing_lost or state.lingering else state.last_used_at
+        is_busy = self.responses.slots or state.partial_since is not None
+        return None if is_busy or state.is_ending or state.lingering else state.last_used_at
 
     def evict(self) -> None:
         """Close, as the descriptor is needed for another client; a partial command is answered."""
@@ -133,12 +148,17 @@
         if self.state.lingering:
             self.writer.transport.abort()
         elif self.state.partial_since is None:
-            self.close_when_idle()
+            self._close_if_idle()
         else:
             self.requests.fail_partial_command()
 
     # closing
 
+    def _close_if_idle(self) -> None:
+        """Close unless a command arrives before we have closed."""
+        self.state.closing_if_idle = True
+        self.responses.mailbox.wake()
+
     def close_when_idle(self) -> None:
         """Close once nothing is owed."""
         self.state.closing = True
--- a/starlingthread/net/clients/context.py
+++ b/starlingthread/net/clients/context.py
@@ -56,9 +56,15 @@
     partial_since: float | None = None  # clock time at which the command that is incomplete began, or its value stalled
     disconnected: bool = False  # the client has closed, or the connection is over
     closing: bool = False  # we close once nothing is owed; commands that still arrive until then are served
+    closing_if_idle: bool = False  # we close unless a command arrives first
     framing_lost: bool = False  # where the client's next command begins is unknown
     evicted: bool = False  # the descriptor is wanted: close without lingering
     lingering: bool = False  # our end of file is sent; what still arrives is discarded
     has_queue_place: bool = False  # the command that is read next may be queued for the router's core
     commands: int = 0  # complete commands so far
     malformed: int = 0  # malformed commands so far
+
+    @property
+    def is_ending(self) -> bool:
+        """Whether we are about to close, for whatever reason, or the client has closed."""
+        return self.closing or self.closing_if_idle or self.framing_lost or self.disconnected
--- a/starlingthread/net/clients/idle.py
+++ b/starlingthread/net/clients/idle.py
@@ -44,7 +44,7 @@
     """
     if state.lingering:
         return None if state.evicted else EvictionRank(EvictionClass.LINGERING, state.last_used_at)
-    if owes_responses or state.closing or state.framing_lost or state.disconnected:
+    if owes_responses or state.is_ending:
         return None
     if state.partial_since is not None:
         return EvictionRank(_class_of_partial_command(now - state.partial_since), state.partial_since)
--- a/starlingthread/net/clients/listener.py
+++ b/starlingthread/net/clients/listener.py
@@ -121,7 +121,7 @@
             return
         limit_read_size(writer, READ_BYTES)
         disable_nagle(writer)
-        actor = ClientConnectionActor(self, reader, writer, self.room.on_closed)
+        actor = ClientConnectionActor(self, reader, writer, self.room.on_closed, self.room.on_eviction_undone)
         self.connections.add(actor)
         protocol = writer.transport.get_protocol()
         if isinstance(protocol, DisconnectAwareProtocol):
--- a/starlingthread/net/clients/shedding.py
+++ b/starlingthread/net/clients/shedding.py
@@ -64,7 +64,7 @@
     def _is_idle(self) -> bool:
         """Return whether nothing is owed, unread or unsent on the connection, and it is not being closed."""
         state = self._state
-        if state.closing or state.disconnected or state.framing_lost or state.evicted or state.lingering:
+        if state.is_ending or state.lingering:
             return False
         if self._responses.slots or self._listener.draining or state.partial_since is not None:
             return False
--- a/tests/test_descriptors_past_capacity.py
+++ b/tests/test_descriptors_past_capacity.py
@@ -168,6 +168,27 @@
     asyncio.run(play())
 
 
+def test_a_request_that_comes_before_the_close_of_its_evicted_connection_keeps_it_open(tmp_path: Path) -> None:
+    """It was closed right behind the answer, which the client's next request crosses."""
+
+    async def play() -> None:
+        async with running_router(tmp_path, limits__sockets=SOCKETS) as harness:
+            clients, servers = await held_by_requests(harness)
+            await servers[0].send(value_answer(0))
+            await clients[0].until(b"x\r\n")
+            harness.router.clock._base += MIN_IDLE_SATURATED_MS
+            await clients[0].send(read_command(100))  # the router has not taken a turn since
+            assert clients_of(harness).room.evict_one()
+            await servers[0].until(b"\r\n")
+            await servers[0].send(value_answer(100))
+            await clients[0].until(b"x\r\n")
+            await step()
+            assert harness.find_actor(clients[0]) is not None
+            assert clients_of(harness).room.free_places == 0
+
+    asyncio.run(play())
+
+
 def test_a_burst_within_the_places_does_not_shut_the_queue(tmp_path: Path) -> None:
     """Connections counted twice while they were set up, so an ordinary client's SYN was dropped."""
 
