Open the queue only for connections that find a descriptor, as an evicted one is closed

Cause: more connections came up than there were descriptors. Of 20 for clients 19 are places. A burst fills them in one turn; the check for idle connections comes in the same turn, evicts five of the new ones, whose requests lie unread, and their places counted as free at once. So the queue was opened with 19 open, and a limit of one lets two come up, as Linux queues one more than the backlog. Then the requests were read and the evictions taken back. The first got the 20th descriptor after up to 83 ms, the second none until the clients left, as nothing is evicted with all descriptors open.

Change: a place is free as its connection is closed, right before the client sees that, not as it is chosen for eviction. Three of the clients' descriptors are no places, and the queue is opened only if each that may come up finds a descriptor. What has come up is accepted while any is free; with none free, one that waits for 100 ms gets that of an idle connection. The process itself keeps 20 descriptors, 24 before, so that 64 leave 19 places still.

Why it works: what comes up has a descriptor in the moment in which the queue is opened, and an eviction that is taken back has promised nothing.

--- a/starlingthread/limits/budgets.py
+++ b/starlingthread/limits/budgets.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 BYTES_PER_MB = 1 << 20
-PROCESS_DESCRIPTORS = 24  # 12 at rest; calls to discovery, upgrades, and what is closed but not yet released
+PROCESS_DESCRIPTORS = 20  # 12 at rest; calls to discovery, upgrades, and what is closed but not yet released
 MANAGEMENT_SHARE = 1 / 32  # of the descriptors, for concurrent calls of operators
 MIN_MANAGEMENT_CONNECTIONS = 4
 MIN_CONNECTIONS = 16
--- a/starlingthread/net/clients/accept_loop.py
+++ b/starlingthread/net/clients/accept_loop.py
@@ -93,23 +93,26 @@
 
     def _has_room(self) -> bool:
         """Return whether a queued connection may be accepted; if not, check again before long."""
-        if self._room.make(self._queue.is_shut) or self._make_room_for_overdue():
+        if self._room.make():
             self._waiting_since = None
             self.limit_queue(accepting=1)
             return True
         if self._waiting_since is None:
             self._waiting_since = self._context.clock.now()
         self._context.counters.increment("clients.accept_paused")
+        self._make_room_for_overdue()
         self._schedule_room_check()
         return False
 
-    def _make_room_for_overdue(self) -> bool:
-        """Evict any idle connection for one that has waited in the queue for long, as its request is taken."""
-        if self._context.sockets.open >= self._context.max_clients:
-            return False
+    def _make_room_for_overdue(self) -> None:
+        """Evict any idle connection for one that has waited in the queue for long, as its request is taken.
+
+        Its descriptor is released some turns of the loop later.
+        """
         now = self._context.clock.now()
         is_overdue = self._waiting_since is not None and now - self._waiting_since >= MAX_QUEUE_WAIT_MS
-        return (is_overdue or self._is_ending) and self._room.evict_any()
+        if is_overdue or self._is_ending:
+            self._room.evict_any()
 
     def _on_exhausted(self) -> None:
         """Let no more clients connect until the system has descriptors again."""
--- a/starlingthread/net/clients/accept_queue.py
+++ b/starlingthread/net/clients/accept_queue.py
@@ -15,6 +15,7 @@
 
 MAX_BACKLOG = 1024  # connections that the system may queue for us at most
 MIN_BACKLOG = 1  # with 0 a system without SYN cookies establishes none at all
+MIN_QUEUED = MIN_BACKLOG + 1  # connections that a queue holds at the least unless it is shut
 RAISE_RATIO = 1.5  # of the limit in force, above which a higher one replaces it
 MIN_RAISE = 16  # connections, by which it replaces it too; so that not each connection's end needs a system call
 
@@ -38,7 +39,10 @@
         return self._limit == 0
 
     def set_limit(self, places: int) -> None:
-        """Let the queue grow to this many connections; those that it holds already stay."""
+        """Let the queue grow to this many connections; those that it holds already stay.
+
+        A limit of 1 lets ``MIN_QUEUED`` come up, and any limit a few more if SYNs arrive on several processors at once.
+        """
         limit = max(0, min(places, MAX_BACKLOG))
         if self._limit is None or self._is_shared or limit < self._limit or self._is_raised(limit, self._limit):
             self._apply(limit)
--- a/starlingthread/net/clients/room.py
+++ b/starlingthread/net/clients/room.py
@@ -14,7 +14,9 @@
     from .connection import ClientConnectionActor
 
 CLOSING_SHARE = 1 / 16  # of the clients' descriptors, for connections that are being closed for new ones
-MAX_EXCESS = 4  # connections over the limit that are accepted though the queue is shut: they came up as it was
+EXCESS_DESCRIPTORS = 3  # for connections that come up beyond the places, and one that is being closed meanwhile
+MAX_EXCESS_SHARE = 1 / 6  # of the clients' descriptors, which these may be where there are few
+RACE_EXCESS = 1  # connections beyond any limit of the accept queue, as SYNs arrive on several processors at once
 SHED_AHEAD_SHARE = 1 / 4  # of the connections, that are evicted at once for clients that can't connect at present
 MIN_IDLE_BEFORE_SHEDDING_MS = 100.0  # an idle connection may go after this when clients exceed the threshold
 FULL_MEMORY_MS = 1000.0  # after the last moment without a place, for which clients count as crowded
@@ -42,14 +44,26 @@
 
     @property
     def max_connections(self) -> int:
-        """Clients that may stay; the rest of the descriptors is for those being closed."""
-        return self._context.max_clients - int(self._context.max_clients * CLOSING_SHARE)
+        """Clients that may stay; the rest of the descriptors is for those being closed and those beyond the places."""
+        max_clients = self._context.max_clients
+        return max_clients - max(self._excess_descriptors, int(max_clients * CLOSING_SHARE))
+
+    @property
+    def _excess_descriptors(self) -> int:
+        return min(EXCESS_DESCRIPTORS, int(self._context.max_clients * MAX_EXCESS_SHARE))
 
     @property
     def free_places(self) -> int:
-        """Connections that may be accepted with nothing evicted."""
-        free_descriptors = self._context.max_clients - self._context.sockets.open
-        return max(0, min(self.max_connections - self._staying, free_descriptors))
+        """Connections that may come up now, so that each finds a descriptor, also those that come up beyond them.
+
+        The place of a connection that is evicted becomes free as it is closed: a command may arrive before.
+        """
+        context, excess = self._context, self._excess_descriptors
+        free_descriptors = context.max_clients - context.sockets.open
+        if free_descriptors < excess:
+            return 0
+        places = self.max_connections - len(context.connections) - context.sockets.connecting
+        return max(0, min(places, free_descriptors - min(RACE_EXCESS, excess)))
 
     @property
     def _staying(self) -> int:
@@ -71,17 +85,17 @@
 
     # making room
 
-    def make(self, is_queue_shut: bool) -> bool:
-        """Return whether there is room for one more connection, after evicting one if that is needed.
+    def make(self) -> bool:
+        """Return whether there is a descriptor for a queued connection; evict an idle one if it is beyond the places.
 
-        is_queue_shut: the connection was established as the queue was being shut, so that few more can follow.
+        What has come up is accepted in any case, as its client has sent a request.
         """
         context = self._context
         if context.sockets.open >= context.max_clients:
             return False
-        if self.free_places > 0 or self.evict_one():
-            return True
-        return is_queue_shut and self._staying < self.max_connections + MAX_EXCESS
+        if self._staying >= self.max_connections:
+            self.evict_one()
+        return True
 
     def evict_one(self) -> bool:
         """Evict the least useful idle connection; return whether there was one. Guards the descriptor limit.
--- a/tests/test_descriptors_past_capacity.py
+++ b/tests/test_descriptors_past_capacity.py
@@ -29,7 +29,7 @@
 
 from .peers import Peer, RouterHarness, connect, read_command, running_router, step, until, value_answer
 
-SOCKETS = 64  # descriptors: (64 - 24) / 2 = 20 for clients
+SOCKETS = 64  # descriptors: (64 - 20) / 2 = 22 for clients, of which 3 are for what comes up beyond the places
 
 
 async def held_by_requests(harness: RouterHarness) -> tuple[list[Peer], list[Peer]]:
