Sum up the overload log's second in a type of its own, and name the room's calls for what they do

Need: OverloadLog listed its ten sums twice, in its constructor and in its reset. ConnectionRoom.make and .on_closed did not say what is made, nor that a connection may still be open.

Change: a private dataclass holds the sums and is replaced each second; make_room, on_closing. No behaviour changes.

--- a/starlingthread/core/overload_log.py
+++ b/starlingthread/core/overload_log.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass, field
+
 from ..logs import log
 from .counters import Counters
 from .cpu_monitor import CpuMonitor
@@ -20,71 +22,68 @@
 )
 
 
+@dataclass(slots=True)
+class _Interval:
+    """What is summed up between two looks at whether to log. Times in ms."""
+
+    begun_at: float = 0.0  # of the router's clock
+    counts_before: dict[str, int] = field(default_factory=dict)
+    samples: int = 0
+    saturated_samples: int = 0
+    used_share_sum: float = 0.0
+    idle_share_sum: float = 0.0
+    turns: int = 0
+    arrivals: int = 0
+    queue_time_sum: float = 0.0
+    longest_queue_time: float = 0.0
+    remaining_share_sum: float = 0.0
+
+
 class OverloadLog:
     """Collects how long requests were queued in this process, and logs it while the CPU is saturated."""
 
     def __init__(self, counters: Counters) -> None:
         self._counters = counters
-        self._counts_before: dict[str, int] = {}
-        self._begun_at = 0.0  # ms of the router's clock
-        self._samples = 0
-        self._saturated_samples = 0
-        self._used_share_sum = 0.0
-        self._idle_share_sum = 0.0
-        self._turns = 0
-        self._arrivals = 0
-        self._queue_time_sum = 0.0  # ms
-        self._longest_queue_time = 0.0  # ms
-        self._remaining_share_sum = 0.0
+        self._interval = _Interval()
 
     def on_turn(self) -> None:
         """Count a turn of the router's actor."""
-        self._turns += 1
+        self._interval.turns += 1
 
     def on_arrival(self, queue_time: float, remaining_share: float) -> None:
         """Record a request: how long it was queued here (ms), and the share of its class's deadline still left."""
-        self._arrivals += 1
-        self._queue_time_sum += queue_time
-        self._longest_queue_time = max(self._longest_queue_time, queue_time)
-        self._remaining_share_sum += remaining_share
+        interval = self._interval
+        interval.arrivals += 1
+        interval.queue_time_sum += queue_time
+        interval.longest_queue_time = max(interval.longest_queue_time, queue_time)
+        interval.remaining_share_sum += remaining_share
 
     def on_cpu_sample(self, now: float, is_saturated: bool, cpu: CpuMonitor, open_requests: int) -> None:
         """Take in a sample of the CPU's use; log and begin anew once a second is over."""
-        self._samples += 1
-        self._saturated_samples += is_saturated
-        self._used_share_sum += cpu.used_share
-        self._idle_share_sum += cpu.idle_share
-        if now - self._begun_at < LOG_INTERVAL_MS:
+        interval = self._interval
+        interval.samples += 1
+        interval.saturated_samples += is_saturated
+        interval.used_share_sum += cpu.used_share
+        interval.idle_share_sum += cpu.idle_share
+        if now - interval.begun_at < LOG_INTERVAL_MS:
             return
-        if self._saturated_samples:
+        if interval.saturated_samples:
             self._log(now, open_requests)
-        self._reset(now)
+        self._interval = _Interval(now, {name: self._counters[name] for name in LOGGED_COUNTERS})
 
     def _log(self, now: float, open_requests: int) -> None:
-        arrivals = max(1, self._arrivals)
-        growth = {name: self._counters[name] - self._counts_before.get(name, 0) for name in LOGGED_COUNTERS}
+        interval = self._interval
+        arrivals = max(1, interval.arrivals)
+        growth = {name: self._counters[name] - interval.counts_before.get(name, 0) for name in LOGGED_COUNTERS}
         log.info(
             "cpu-saturated",
-            interval_ms=round(now - self._begun_at),
-            cpu=round(self._used_share_sum / self._samples, 2),
-            idle=round(self._idle_share_sum / self._samples, 2),
-            turns=self._turns,
-            queue_ms=round(self._queue_time_sum / arrivals, 1),
-            longest_queue_ms=round(self._longest_queue_time, 1),
-            remaining=round(self._remaining_share_sum / arrivals, 2),
+            interval_ms=round(now - interval.begun_at),
+            cpu=round(interval.used_share_sum / interval.samples, 2),
+            idle=round(interval.idle_share_sum / interval.samples, 2),
+            turns=interval.turns,
+            queue_ms=round(interval.queue_time_sum / arrivals, 1),
+            longest_queue_ms=round(interval.longest_queue_time, 1),
+            remaining=round(interval.remaining_share_sum / arrivals, 2),
             **{"requests.open": open_requests},
             **{name: count for name, count in growth.items() if count},
         )
-
-    def _reset(self, now: float) -> None:
-        self._begun_at = now
-        self._samples = 0
-        self._saturated_samples = 0
-        self._used_share_sum = 0.0
-        self._idle_share_sum = 0.0
-        self._turns = 0
-        self._arrivals = 0
-        self._queue_time_sum = 0.0
-        self._longest_queue_time = 0.0
-        self._remaining_share_sum = 0.0
-        self._counts_before = {name: self._counters[name] for name in LOGGED_COUNTERS}
--- a/starlingthread/net/clients/accept_loop.py
+++ b/starlingthread/net/clients/accept_loop.py
@@ -93,7 +93,7 @@
 
     def _has_room(self) -> bool:
         """Return whether a queued connection may be accepted; if not, check again before long."""
-        if self._room.make():
+        if self._room.make_room():
             self._waiting_since = None
             self.limit_queue(accepting=1)
             return True
--- a/starlingthread/net/clients/listener.py
+++ b/starlingthread/net/clients/listener.py
@@ -130,7 +130,7 @@
         self.supervisor.start(actor.run(), "client", lambda _: actor.close())
 
     def _on_closing(self, actor: ClientConnectionActor) -> None:
-        self.room.on_closed(actor)
+        self.room.on_closing(actor)
         if self._accept_loop is not None:
             self._accept_loop.limit_queue()
 
--- a/starlingthread/net/clients/room.py
+++ b/starlingthread/net/clients/room.py
@@ -74,8 +74,8 @@
         """Note that no client can connect at present."""
         self.crowded_until = self._context.clock.now() + FULL_MEMORY_MS
 
-    def on_closed(self, actor: ClientConnectionActor) -> None:
-        """Take a connection out that has ended."""
+    def on_closing(self, actor: ClientConnectionActor) -> None:
+        """Take a connection out that is about to be closed, or has ended."""
         self._context.connections.discard(actor)
         self._leaving.discard(actor)
 
@@ -85,7 +85,7 @@
 
     # making room
 
-    def make(self) -> bool:
+    def make_room(self) -> bool:
         """Return whether there is a descriptor for a queued connection; evict an idle one if it is beyond the places.
 
         What has come up is accepted in any case, as its client has sent a request.
