--- a/tests/test_connections_beyond_places.py
+++ b/tests/test_connections_beyond_places.py
@@ -101,6 +101,31 @@
     asyncio.run(play())
 
 
+def test_a_burst_that_takes_all_places_is_answered_though_its_requests_come_a_moment_later(tmp_path: Path) -> None:
+    """Five of its connections were closed at once for others, and their requests crossed the close.
+
+    One more connection than places comes up, as if SYNs had arrived on several processors.
+    """
+
+    async def play() -> None:
+        async with running_router(tmp_path, limits__sockets=SOCKETS) as harness:
+            listener = clients_of(harness)
+            assert listener.socket is not None
+            listener.socket.listen(listener.room.max_connections)  # the system queues one more
+            burst = [begin_connect(harness.port) for _ in range(2 * listener.max_clients)]
+            up = dict(enumerate(filter(is_connected, burst)))
+            assert len(up) == listener.room.max_connections + RACE_EXCESS
+            await until(lambda: accept_loop_of(harness)._checked_room_at > 0.0)  # all are accepted, the queue is shut
+            for number, sock in up.items():
+                sock.send(read_command(number))
+            await assert_answered(harness, up)
+            assert harness.counters["clients.evicted"] == 0
+            for sock in burst:
+                sock.close()
+
+    asyncio.run(play())
+
+
 def test_clients_can_connect_before_an_evicted_one_sees_the_close(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
