Count the connection that is being accepted among those that need a descriptor

Found by a property test of the room's places: with two connections being closed and one being accepted the queue could be opened for one, which lets two come up, with two descriptors free, so that a third one on another processor would find none.

Cause: what is being accepted was subtracted from the places, but not where it is checked whether the descriptors do.

Change: ConnectionRoom.free_places takes the number of connections that are being accepted.

Tests: the property, for 18 to 64 descriptors of the clients, failed before (18, 15 being closed, one being accepted). With fewer than 18 there is less room beyond the places, and one on another processor may have to wait for a descriptor.

--- a/starlingthread/net/clients/accept_loop.py
+++ b/starlingthread/net/clients/accept_loop.py
@@ -77,7 +77,7 @@
 
     def limit_queue(self, accepting: int = 0) -> None:
         """Let clients connect for the places that are free, less those for connections accepted just now."""
-        places = self._room.free_places - accepting
+        places = self._room.free_places(accepting)
         self._queue.set_limit(0 if self._is_ending else places)
         if self._queue.is_shut:
             self._schedule_room_check()
--- a/starlingthread/net/clients/room.py
+++ b/starlingthread/net/clients/room.py
@@ -52,17 +52,17 @@
     def _excess_descriptors(self) -> int:
         return min(EXCESS_DESCRIPTORS, int(self._context.max_clients * MAX_EXCESS_SHARE))
 
-    @property
-    def free_places(self) -> int:
-        """Connections that may come up now, so that each finds a descriptor, also those that come up beyond them.
+    def free_places(self, accepting: int = 0) -> int:
+        """Return how many connections may come up, so that each finds a descriptor, also those beyond the limit.
 
         The place of a connection that is evicted becomes free as it is closed: a command may arrive before.
+        accepting: connections that are accepted just now, and counted as open a moment later.
         """
         context, excess = self._context, self._excess_descriptors
-        free_descriptors = context.max_clients - context.sockets.open
+        free_descriptors = context.max_clients - context.sockets.open - accepting
         if free_descriptors < excess:
             return 0
-        places = self.max_connections - len(context.connections) - context.sockets.connecting
+        places = self.max_connections - len(context.connections) - context.sockets.connecting - accepting
         return max(0, min(places, free_descriptors - min(RACE_EXCESS, excess)))
 
     @property
--- a/tests/test_connections_beyond_places.py
+++ b/tests/test_connections_beyond_places.py
@@ -13,11 +13,14 @@
 from socket import socket
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from starlingthread.net.clients.accept_loop import MAX_QUEUE_WAIT_MS, AcceptLoop
 from starlingthread.net.clients.accept_queue import MIN_QUEUED
+from starlingthread.net.clients.acceptor import SocketCounts
 from starlingthread.net.clients.idle import MIN_IDLE_SATURATED_MS
-from starlingthread.net.clients.room import RACE_EXCESS
+from starlingthread.net.clients.room import RACE_EXCESS, ConnectionRoom
 
 from .peers import Peer, RouterHarness, read_command, running_router, until, value_answer
 from .test_descriptors_past_capacity import SOCKETS, begin_connect, clients_of, held_by_requests, is_connected
@@ -25,6 +28,25 @@
 pytestmark = pytest.mark.skipif(sys.platform != "linux", reason="other systems' queues differ")
 
 
+class FakeContext:
+    """A listener as its room sees it, with sockets in each of their states."""
+
+    def __init__(self, max_clients: int, connections: int, connecting: int, closing: int) -> None:
+        self.max_clients = max_clients
+        self.connections = set(range(connections))
+        self.sockets = SocketCounts(open=connections + connecting + closing, connecting=connecting)
+
+
+@given(st.integers(18, 64), st.integers(0, 64), st.integers(0, 64), st.integers(0, 64), st.integers(0, 1))
+def test_whatever_may_come_up_finds_a_descriptor(
+    max_clients: int, connections: int, connecting: int, closing: int, accepting: int
+) -> None:
+    context = FakeContext(max_clients, connections, connecting, closing)
+    limit = ConnectionRoom(context).free_places(accepting)  # type: ignore[arg-type]
+    free_descriptors = max_clients - context.sockets.open - accepting
+    assert not limit or max(limit, MIN_QUEUED) + RACE_EXCESS <= free_descriptors
+
+
 def accept_loop_of(harness: RouterHarness) -> AcceptLoop:
     accept_loop = clients_of(harness)._accept_loop
     assert accept_loop is not None
--- a/tests/test_descriptors_past_capacity.py
+++ b/tests/test_descriptors_past_capacity.py
@@ -184,7 +184,7 @@
             await clients[0].until(b"x\r\n")
             await step()
             assert harness.find_actor(clients[0]) is not None
-            assert clients_of(harness).room.free_places == 0
+            assert clients_of(harness).room.free_places() == 0
 
     asyncio.run(play())
 
