--- a/starlingthread/net/clients/connection.py
+++ b/starlingthread/net/clients/connection.py
@@ -24,7 +24,7 @@
         listener: ListenerContext,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        on_closing: Callable[[ClientConnectionActor], None],
+        on_closed: Callable[[ClientConnectionActor], None],
         on_eviction_undone: Callable[[ClientConnectionActor], None] = lambda _: None,
     ) -> None:
         self.listener = listener
@@ -40,7 +40,7 @@
             listener, self.state, self.responses, self._command_reader, writer.transport
         )
         self._response_writer = ResponseWriter(listener, self.state, writer)
-        self._on_closing = on_closing
+        self._on_closed = on_closed
         self._on_eviction_undone = on_eviction_undone
 
     async def run(self) -> None:
@@ -57,7 +57,6 @@
                 elif not self.writer.transport.get_write_buffer_size():
                     # At once, as a transport closes its socket a turn of the loop later only: what arrives until then
                     # would count as taken off the socket, and a turn is long on a core that is too small.
-                    self._on_closing(self)  # first, as a client whose request crosses this connects anew at once
                     self.writer.write_eof()
         except OSError:
             self.listener.counters.increment("clients.reset")
@@ -168,5 +167,5 @@
     def close(self) -> None:
         """Release the connection, here and nowhere else; requests in flight are cancelled."""
         self.requests.close()
-        self._on_closing(self)
+        self._on_closed(self)
         self._response_writer.close()
--- a/starlingthread/net/clients/eviction.py
+++ b/starlingthread/net/clients/eviction.py
@@ -62,8 +62,7 @@
         """Put the connections that may be evicted in order.
 
         A new connection may be evicted only beside a crowd of silent ones: when descriptors are held by requests, each
-        of the queued clients is as new as the one that would be closed for it. Many new ones are no such crowd: their
-        requests may be on their way.
+        of the queued clients is as new as the one that would be closed for it.
         """
         ranked = ranked_connections(connections, now)
         silent = sum(rank.eviction_class in SILENT_CLASSES for rank, _ in ranked)
--- a/starlingthread/net/clients/idle.py
+++ b/starlingthread/net/clients/idle.py
@@ -25,7 +25,7 @@
     RECEIVING = 5  # a command began a moment ago
 
 
-SILENT_CLASSES = frozenset((EvictionClass.SILENT, EvictionClass.SLOW_COMMAND))
+SILENT_CLASSES = frozenset((EvictionClass.SILENT, EvictionClass.SLOW_COMMAND, EvictionClass.NEW))
 
 
 class EvictionRank(NamedTuple):
--- a/starlingthread/net/clients/listener.py
+++ b/starlingthread/net/clients/listener.py
@@ -121,7 +121,7 @@
             return
         limit_read_size(writer, READ_BYTES)
         disable_nagle(writer)
-        actor = ClientConnectionActor(self, reader, writer, self._on_closing, self.room.on_eviction_undone)
+        actor = ClientConnectionActor(self, reader, writer, self.room.on_closed, self.room.on_eviction_undone)
         self.connections.add(actor)
         protocol = writer.transport.get_protocol()
         if isinstance(protocol, DisconnectAwareProtocol):
@@ -129,11 +129,6 @@
             protocol.consume = actor.early_rejector.consume
         self.supervisor.start(actor.run(), "client", lambda _: actor.close())
 
-    def _on_closing(self, actor: ClientConnectionActor) -> None:
-        self.room.on_closing(actor)
-        if self._accept_loop is not None:
-            self._accept_loop.limit_queue()
-
     # disconnects
 
     def watch_for_disconnect(self, connection: PausedConnection) -> None:
--- a/starlingthread/net/clients/room.py
+++ b/starlingthread/net/clients/room.py
@@ -55,14 +55,15 @@
     def free_places(self, accepting: int = 0) -> int:
         """Return how many connections may come up, so that each finds a descriptor, also those beyond the limit.
 
-        The place of a connection that is evicted becomes free as it is closed: a command may arrive before.
+        The places of evicted connections count as free before they are closed, their descriptors don't: a command may
+        arrive before.
         accepting: connections that are accepted just now, and counted as open a moment later.
         """
         context, excess = self._context, self._excess_descriptors
         free_descriptors = context.max_clients - context.sockets.open - accepting
         if free_descriptors < excess:
             return 0
-        places = self.max_connections - len(context.connections) - context.sockets.connecting - accepting
+        places = self.max_connections - self._staying - accepting
         return max(0, min(places, free_descriptors - min(RACE_EXCESS, excess)))
 
     @property
@@ -79,8 +80,8 @@
         """Note that no client can connect at present."""
         self.crowded_until = self._context.clock.now() + FULL_MEMORY_MS
 
-    def on_closing(self, actor: ClientConnectionActor) -> None:
-        """Take a connection out that is about to be closed, or has ended."""
+    def on_closed(self, actor: ClientConnectionActor) -> None:
+        """Take a connection out that has ended."""
         self._context.connections.discard(actor)
         self._leaving.discard(actor)
 
