Never evict a new connection before it has been silent for 100 ms

Callers saw: of a burst of clients that takes all connections of a router some were disconnected before their requests arrived. These crossed the close, and the second connection found the queue shut (once four requests lost).

Cause: a new connection may go only beside a crowd of silent ones, but new ones counted as silent. The check for places, which comes in the turn in which the queue is shut, so took any such burst for a crowd and evicted a quarter of it.

Change: a new connection is never evicted; after 100 ms without a command it is a silent one, and goes first. The rule on the share of silent ones is gone. By reading it decided nothing else: where a quarter is silent, these are all that is evicted.

Why it works: each client of a burst has 100 ms to send. A client that can't connect meanwhile has lost no request.

--- a/starlingthread/net/clients/eviction.py
+++ b/starlingthread/net/clients/eviction.py
@@ -5,10 +5,9 @@
 import math
 from typing import Generic, Protocol, TypeVar
 
-from .idle import SILENT_CLASSES, EvictionClass, EvictionRank
+from .idle import EvictionClass, EvictionRank
 
 RANKING_LIFE_MS = 5.0  # for which the order of eviction is used, as ranking all connections takes a while
-CROWD_SHARE = 0.25  # of the clients' connections; where more are silent, new ones may be evicted before they are silent
 
 
 class Evictable(Protocol):
@@ -48,25 +47,24 @@
         self._candidates: list[Connection] = []  # the first to go at the end
         self._ranked_at = -math.inf  # clock time
 
-    def next_candidate(self, connections: set[Connection], now: float, max_clients: int) -> Connection | None:
+    def next_candidate(self, connections: set[Connection], now: float) -> Connection | None:
         """Return the least useful connection that may be evicted, None if there is none."""
         if now - self._ranked_at > RANKING_LIFE_MS or not self._candidates:
-            self._rank(connections, now, max_clients)
+            self._rank(connections, now)
         while self._candidates:
             candidate = self._candidates.pop()
             if candidate in connections and candidate.eviction_rank(now) is not None:
                 return candidate
         return None
 
-    def _rank(self, connections: set[Connection], now: float, max_clients: int) -> None:
+    def _rank(self, connections: set[Connection], now: float) -> None:
         """Put the connections that may be evicted in order.
 
-        A new connection may be evicted only beside a crowd of silent ones: when descriptors are held by requests, each
-        of the queued clients is as new as the one that would be closed for it.
+        New ones may not, however many they are: a burst of ordinary clients looks like a crowd of silent ones until its
+        requests arrive, and these would cross the close.
         """
         ranked = ranked_connections(connections, now)
-        silent = sum(rank.eviction_class in SILENT_CLASSES for rank, _ in ranked)
-        if silent <= CROWD_SHARE * max_clients:
-            ranked = [pair for pair in ranked if pair[0].eviction_class != EvictionClass.NEW]
-        self._candidates = [connection for _, connection in reversed(ranked)]
+        self._candidates = [
+            connection for rank, connection in reversed(ranked) if rank.eviction_class != EvictionClass.NEW
+        ]
         self._ranked_at = now
--- a/starlingthread/net/clients/idle.py
+++ b/starlingthread/net/clients/idle.py
@@ -21,13 +21,10 @@
     LONG_IDLE = 1
     SLOW_COMMAND = 2
     IDLE = 3
-    NEW = 4  # just accepted
+    NEW = 4  # just accepted; its first command may be on its way
     RECEIVING = 5  # a command began a moment ago
 
 
-SILENT_CLASSES = frozenset((EvictionClass.SILENT, EvictionClass.SLOW_COMMAND, EvictionClass.NEW))
-
-
 class EvictionRank(NamedTuple):
     """The place of a connection in the order of eviction; the least goes first."""
 
--- a/starlingthread/net/clients/room.py
+++ b/starlingthread/net/clients/room.py
@@ -109,7 +109,7 @@
         Clients that open connections and send nothing lose them to those that send commands.
         """
         context = self._context
-        candidate = self._eviction.next_candidate(context.connections, context.clock.now(), context.max_clients)
+        candidate = self._eviction.next_candidate(context.connections, context.clock.now())
         if candidate is None:
             return False
         self._evict(candidate)
