Evict no connections in use in place of a crowd's that must stay for a moment yet

Cause: a round of evictions left out what must stay yet (new connections, and used ones for 100 ms after their last command) and then took as many as were too many from the rest. A crowd that came up a moment ago was left out as a whole, so what went were the connections of ordinary clients, which rest for 100 to 200 ms between two requests there. Their requests crossed the close, and the second connection found the queue shut.

Change: the order of eviction holds all connections on which nothing is owed; each rank says from when on its connection may go. A round takes the first of the order, as many as are too many, and evicts those that may go by now. New connections and those with one command come before those that were used again.

Why it works: the crowd itself makes up the number that is too many, so no round gets as far as connections in use.

--- a/starlingthread/net/clients/eviction.py
+++ b/starlingthread/net/clients/eviction.py
@@ -5,7 +5,7 @@
 import math
 from typing import Generic, Protocol, TypeVar
 
-from .idle import EvictionClass, EvictionRank
+from .idle import EvictionRank
 
 RANKING_LIFE_MS = 5.0  # for which the order of eviction is used, as ranking all connections takes a while
 
@@ -14,7 +14,7 @@
     """A connection that has a place in the order of eviction."""
 
     def eviction_rank(self, now: float) -> EvictionRank | None:
-        """Return the place in the order; None if the connection must stay."""
+        """Return the place in the order; None if the connection is in use or being closed."""
 
     def idle_since(self) -> float | None:
         """Return the clock time of the last use; None if something is owed or under way."""
@@ -24,7 +24,7 @@
 
 
 def ranked_connections(connections: set[Connection], now: float) -> list[tuple[EvictionRank, Connection]]:
-    """Return the connections that may be evicted, the first to go at the start."""
+    """Return the connections that are not in use, the first to go at the start."""
     ranked = [(rank, connection) for connection in connections if (rank := connection.eviction_rank(now)) is not None]
     return sorted(ranked, key=lambda pair: pair[0])
 
@@ -48,23 +48,16 @@
         self._ranked_at = -math.inf  # clock time
 
     def next_candidate(self, connections: set[Connection], now: float) -> Connection | None:
-        """Return the least useful connection that may be evicted, None if there is none."""
+        """Return the least useful connection if it may be evicted by now, else None.
+
+        The next one is not taken in its place, as it is more useful; it has its turn in the next call.
+        """
         if now - self._ranked_at > RANKING_LIFE_MS or not self._candidates:
-            self._rank(connections, now)
+            self._candidates = [connection for _, connection in reversed(ranked_connections(connections, now))]
+            self._ranked_at = now
         while self._candidates:
             candidate = self._candidates.pop()
-            if candidate in connections and candidate.eviction_rank(now) is not None:
-                return candidate
+            rank = candidate.eviction_rank(now) if candidate in connections else None
+            if rank is not None:
+                return candidate if rank.evictable_at <= now else None
         return None
-
-    def _rank(self, connections: set[Connection], now: float) -> None:
-        """Put the connections that may be evicted in order.
-
-        New ones may not, however many they are: a burst of ordinary clients looks like a crowd of silent ones until its
-        requests arrive, and these would cross the close.
-        """
-        ranked = ranked_connections(connections, now)
-        self._candidates = [
-            connection for rank, connection in reversed(ranked) if rank.eviction_class != EvictionClass.NEW
-        ]
-        self._ranked_at = now
--- a/starlingthread/net/clients/idle.py
+++ b/starlingthread/net/clients/idle.py
@@ -20,9 +20,10 @@
     SILENT = 0  # no command since it was accepted, or a partial one that has stalled
     LONG_IDLE = 1
     SLOW_COMMAND = 2
-    IDLE = 3
-    NEW = 4  # just accepted; its first command may be on its way
-    RECEIVING = 5  # a command began a moment ago
+    NEW = 3  # just accepted; silent unless its first command arrives
+    USED_ONCE = 4
+    USED_AGAIN = 5
+    RECEIVING = 6  # a command began a moment ago
 
 
 class EvictionRank(NamedTuple):
@@ -30,29 +31,34 @@
 
     eviction_class: EvictionClass
     since: float  # clock time
+    evictable_at: float  # clock time; the connection keeps its place in the order, but stays until then
 
 
 def eviction_rank(
     state: ConnectionState, owes_responses: bool, is_core_saturated: bool, now: float, is_crowded: bool = False
 ) -> EvictionRank | None:
-    """Return a connection's rank in the order of eviction; None if it must stay.
+    """Return a connection's rank in the order of eviction; None if something is owed on it or it is being closed.
 
     is_crowded: clients find no place, so that one whose request crosses the close may not find another one.
     """
     if state.lingering:
-        return None if state.evicted else EvictionRank(EvictionClass.LINGERING, state.last_used_at)
+        return None if state.evicted else EvictionRank(EvictionClass.LINGERING, state.last_used_at, state.last_used_at)
     if owes_responses or state.is_ending:
         return None
     if state.partial_since is not None:
-        return EvictionRank(_class_of_partial_command(now - state.partial_since), state.partial_since)
-    idle_ms = now - state.last_used_at
-    if state.commands and idle_ms < _min_idle_ms(state, is_core_saturated, is_crowded):
-        return None  # its client may be about to send the next command
-    if not state.commands:
-        eviction_class = EvictionClass.SILENT if idle_ms >= SILENT_CONNECTION_MS else EvictionClass.NEW
-    else:
-        eviction_class = EvictionClass.LONG_IDLE if idle_ms >= SHORT_IDLE_TIMEOUT_MS else EvictionClass.IDLE
-    return EvictionRank(eviction_class, state.last_used_at)
+        eviction_class = _class_of_partial_command(now - state.partial_since)
+        return EvictionRank(eviction_class, state.partial_since, state.partial_since)
+    eviction_class = _class_of_idle_connection(state.commands, now - state.last_used_at)
+    stays_ms = _min_idle_ms(state, is_core_saturated, is_crowded) if state.commands else SILENT_CONNECTION_MS
+    return EvictionRank(eviction_class, state.last_used_at, state.last_used_at + stays_ms)
+
+
+def _class_of_idle_connection(commands: int, idle_ms: float) -> EvictionClass:
+    if not commands:
+        return EvictionClass.SILENT if idle_ms >= SILENT_CONNECTION_MS else EvictionClass.NEW
+    if idle_ms >= SHORT_IDLE_TIMEOUT_MS:
+        return EvictionClass.LONG_IDLE
+    return EvictionClass.USED_ONCE if commands == 1 else EvictionClass.USED_AGAIN
 
 
 def _min_idle_ms(state: ConnectionState, is_core_saturated: bool, is_crowded: bool) -> float:
--- a/starlingthread/net/clients/room.py
+++ b/starlingthread/net/clients/room.py
@@ -104,9 +104,10 @@
         return True
 
     def evict_one(self) -> bool:
-        """Evict the least useful idle connection; return whether there was one. Guards the descriptor limit.
+        """Evict the least useful connection unless it must stay yet; return whether it was evicted.
 
-        Clients that open connections and send nothing lose them to those that send commands.
+        Guards the descriptor limit. Clients that open connections and send nothing lose them to those that send
+        commands.
         """
         context = self._context
         candidate = self._eviction.next_candidate(context.connections, context.clock.now())
@@ -129,19 +130,27 @@
     def shed_ahead(self) -> None:
         """Evict some idle connections before others ask for their places, as the queue is shut and none can ask."""
         allowed = int(self.max_connections * (1 - SHED_AHEAD_SHARE))
-        while self._staying > allowed and self.evict_one():
-            pass
+        self._evict_first(self._staying - allowed, self._context.clock.now())
 
     def shed_idle(self, now: float) -> None:
-        """Evict what is idle longest before clients hold all descriptors they may.
+        """Evict what is least useful before clients hold all descriptors they may.
 
         Guards against clients that keep a connection each for good: active ones would find none left, and
         we would not learn of it.
         """
-        context = self._context
-        ranked = ranked_connections(context.connections, now)
-        for rank, actor in ranked[: max(0, len(context.connections) - context.idle_client_threshold)]:
-            if now - rank.since >= MIN_IDLE_BEFORE_SHEDDING_MS:
+        excess = len(self._context.connections) - self._context.idle_client_threshold
+        self._evict_first(excess, now, MIN_IDLE_BEFORE_SHEDDING_MS)
+
+    def _evict_first(self, count: int, now: float, min_idle_ms: float = 0.0) -> None:
+        """Evict those of the ``count`` least useful connections that need not stay.
+
+        No others are evicted in place of those that must: a crowd that came up a moment ago would else displace clients
+        that use their connections, and whose requests cross the close.
+        """
+        if count <= 0:
+            return
+        for rank, actor in ranked_connections(self._context.connections, now)[:count]:
+            if now >= max(rank.evictable_at, rank.since + min_idle_ms):
                 self._evict(actor)
 
     def _evict(self, actor: ClientConnectionActor) -> None:
--- a/tests/test_descriptors_past_capacity.py
+++ b/tests/test_descriptors_past_capacity.py
@@ -49,8 +49,10 @@
 ) -> None:
     """Guards against requests that cross the close of their connection, and whose new one finds no place."""
     state = ConnectionState(last_used_at=0.0, commands=1)
-    assert (eviction_rank(state, False, is_core_saturated, 2 * MIN_IDLE_MS) is not None) == may_go
-    assert eviction_rank(state, False, is_core_saturated, MIN_IDLE_SATURATED_MS) is not None
+    rank = eviction_rank(state, False, is_core_saturated, 2 * MIN_IDLE_MS)
+    assert rank is not None
+    assert (rank.evictable_at <= 2 * MIN_IDLE_MS) == may_go
+    assert rank.evictable_at <= MIN_IDLE_SATURATED_MS
 
 
 def clients_of(harness: RouterHarness) -> ClientListener:
