--- a/tests/world.py
+++ b/tests/balancer_driver.py
@@ -17,7 +17,7 @@
 )
 from starlingthread.settings import Idempotency, RequestClass, Settings
 
-from .checker import Checker
+from .rule_checker import RuleChecker
 
 READ, IDEMPOTENCY_KEY, NOT_IDEMPOTENT = 0, 1, 2
 ORIGIN = 99
@@ -57,12 +57,12 @@
     return (*caches, Endpoint(ORIGIN, kind=3))
 
 
-class World:
+class BalancerDriver:
     """One balancer under test, and the clock."""
 
     def __init__(self, settings: Settings = ASIDE, fleet: tuple[Endpoint, ...] | None = None, seed: int = 1):
         self.set = settings
-        self.checker = Checker(settings)
+        self.checker = RuleChecker(settings)
         self.balancer = Balancer(settings, seed)
         self.now = 1000.0
         self.next_id = 1
@@ -142,25 +142,25 @@
     return [a for a in actions if isinstance(a, Reject | Fail)]
 
 
-def late_reads(world: World, count: int, elapsed: float) -> None:
+def late_reads(driver: BalancerDriver, count: int, elapsed: float) -> None:
     """Let some reads of many keys be answered after a long wait."""
     for key in range(count):
-        world.now += 20.0
-        for send in sends(world.ask(1000 + key, cost=0.0)):
-            world.end(send, AttemptResult.OK, elapsed=elapsed)
+        driver.now += 20.0
+        for send in sends(driver.ask(1000 + key, cost=0.0)):
+            driver.end(send, AttemptResult.OK, elapsed=elapsed)
 
 
-def warmed_up(world: World) -> int:
+def warmed_up(driver: BalancerDriver) -> int:
     """Let one key be read until its owner is counted and tokens for hedges are saved up; return the owner."""
-    return [world.read(7) for _ in range(40)][-1]
+    return [driver.read(7) for _ in range(40)][-1]
 
 
-def fetch_many(world: World, count: int, result: AttemptResult, took: float = 60.0) -> None:
+def fetch_many(driver: BalancerDriver, count: int, result: AttemptResult, took: float = 60.0) -> None:
     """Let reads of keys that are cached nowhere end in some way."""
     for _ in range(count):
-        world.now += 20.0
-        for send in sends(world.ask(100000 + int(world.now))):
-            world.do(
+        driver.now += 20.0
+        for send in sends(driver.ask(100000 + int(driver.now))):
+            driver.do(
                 Outcome(
                     send.id,
                     0,
--- a/tests/event_stream.py
+++ b/tests/event_stream.py
@@ -33,7 +33,7 @@
 )
 from starlingthread.settings import Settings
 
-from .world import ASIDE, ORIGIN, THROUGH, members
+from .balancer_driver import ASIDE, ORIGIN, THROUGH, members
 
 DATA = Path(__file__).with_name("data")
 # The streams were recorded before the types had these names, and are not recorded again for a name.
--- a/tests/standins.py
+++ b/tests/fakes.py
@@ -16,8 +16,8 @@
 from starlingthread.net.upstreams.actor import ServerActor
 from starlingthread.net.upstreams.connection import Connection
 
+from .balancer_driver import THROUGH
 from .router_harness import RouterHarness
-from .world import THROUGH
 
 
 class Transport:
--- a/tests/router_harness.py
+++ b/tests/router_harness.py
@@ -10,7 +10,7 @@
 from starlingthread.events import EndpointList, EndpointListKind
 from starlingthread.settings import Settings
 
-from .world import READ, THROUGH, members
+from .balancer_driver import READ, THROUGH, members
 
 
 class ManualClock(Clock):
--- a/tests/checker.py
+++ b/tests/rule_checker.py
@@ -39,7 +39,7 @@
     answers: int = 0
 
 
-class Checker:
+class RuleChecker:
     """Asserts the rules on the events that go into the module and the actions that come out."""
 
     def __init__(self, settings: Settings) -> None:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,12 +5,12 @@
 from starlingthread.actions import Reject
 from starlingthread.events import AttemptResult, Request
 
-from .world import (
+from .balancer_driver import (
     ASIDE,
     IDEMPOTENCY_KEY,
     READ,
     THROUGH,
-    World,
+    BalancerDriver,
     answers,
     fetch_many,
     late_reads,
@@ -22,66 +22,66 @@
 
 def test_most_requests_that_would_be_late_are_rejected_at_once() -> None:
     """Incident iddb886: queues longer than the latency objective stayed full."""
-    world = World(ASIDE, members(6))
-    late_reads(world, 60, 900.0)
-    world.now += 5000.0  # a router comes back to a server every few seconds only
+    driver = BalancerDriver(ASIDE, members(6))
+    late_reads(driver, 60, 900.0)
+    driver.now += 5000.0  # a router comes back to a server every few seconds only
     rejected = 0
     for key in range(100):
-        world.now += 1.0
-        rejected += len(answers(world.ask(5000 + key, cost=0.0)))
+        driver.now += 1.0
+        rejected += len(answers(driver.ask(5000 + key, cost=0.0)))
     assert 60 <= rejected < 100  # a few are sent to find out when the overload ends
 
 
 def test_requests_are_admitted_again_once_responses_are_fast() -> None:
-    world = World(ASIDE, members(6))
-    late_reads(world, 60, 900.0)
-    late_reads(world, 600, 30.0)
-    world.now += 5000.0
-    assert only_send(world.ask(9999, cost=0.0))
+    driver = BalancerDriver(ASIDE, members(6))
+    late_reads(driver, 60, 900.0)
+    late_reads(driver, 600, 30.0)
+    driver.now += 5000.0
+    assert only_send(driver.ask(9999, cost=0.0))
 
 
 def test_nothing_is_rejected_while_responses_are_fast() -> None:
-    world = World(ASIDE, members(6))
-    late_reads(world, 100, 60.0)
-    assert all(not answers(world.ask(5000 + key)) for key in range(50))
+    driver = BalancerDriver(ASIDE, members(6))
+    late_reads(driver, 100, 60.0)
+    assert all(not answers(driver.ask(5000 + key)) for key in range(50))
 
 
 def test_a_rejection_carries_a_retry_after_that_differs_by_request() -> None:
-    world = World(ASIDE._replace(max_retry_after=2000.0), ())
-    retry_after = [a.retry_after for _ in range(20) for a in answers(world.ask()) if isinstance(a, Reject)]
+    driver = BalancerDriver(ASIDE._replace(max_retry_after=2000.0), ())
+    retry_after = [a.retry_after for _ in range(20) for a in answers(driver.ask()) if isinstance(a, Reject)]
     assert len(retry_after) == 20 and all(1.0 <= ms <= 2000.0 for ms in retry_after) and len(set(retry_after)) > 10
 
 
 def test_an_overloaded_router_sheds_the_lowest_priority_weight_first() -> None:
     """Guards against a day on which all requests wait for the router and none is in time."""
 
-    def rejected(world: World, queue_time: float, cls: int = READ) -> int:
+    def rejected(driver: BalancerDriver, queue_time: float, cls: int = READ) -> int:
         count = 0
         for key in range(400):
-            world.now += 10.0
-            world.next_id += 1
-            done = world.do(Request(world.next_id, cls, 900.0, key=key + 1, cost_hint=40.0, queue_time=queue_time))
+            driver.now += 10.0
+            driver.next_id += 1
+            done = driver.do(Request(driver.next_id, cls, 900.0, key=key + 1, cost_hint=40.0, queue_time=queue_time))
             count += len(answers(done))
             for send in sends(done):
-                world.end(send, AttemptResult.OK)
+                driver.end(send, AttemptResult.OK)
         return count
 
-    world = World(THROUGH)
-    assert rejected(world, 5.0) == 0
-    reads, writes = rejected(world, 40.0), rejected(world, 40.0, IDEMPOTENCY_KEY)
+    driver = BalancerDriver(THROUGH)
+    assert rejected(driver, 5.0) == 0
+    reads, writes = rejected(driver, 40.0), rejected(driver, 40.0, IDEMPOTENCY_KEY)
     assert 100 < reads < 350 and 0 < writes < 200
-    rejected(world, 5.0)
-    assert rejected(world, 5.0) == 0
+    rejected(driver, 5.0)
+    assert rejected(driver, 5.0) == 0
 
 
 def test_fetches_from_a_failing_origin_are_rejected_and_cached_values_still_served() -> None:
     """Guards against an overloaded origin whose fetches occupy the servers' slots, so that hits are rejected."""
-    world = World(THROUGH)
-    world.balancer.affinity.prior_hit_probability = [0.1, 0.1]
+    driver = BalancerDriver(THROUGH)
+    driver.balancer.affinity.prior_hit_probability = [0.1, 0.1]
     for _ in range(20):
-        world.read(7)
-    fetch_many(world, 40, AttemptResult.OK)
-    assert not [a for key in range(50) for a in answers(world.ask(500000 + key))]
-    fetch_many(world, 40, AttemptResult.ERROR, 200.0)
-    spared = len([a for key in range(50) for a in answers(world.ask(600000 + key))])
-    assert spared > 25 and only_send(world.ask(7))
+        driver.read(7)
+    fetch_many(driver, 40, AttemptResult.OK)
+    assert not [a for key in range(50) for a in answers(driver.ask(500000 + key))]
+    fetch_many(driver, 40, AttemptResult.ERROR, 200.0)
+    spared = len([a for key in range(50) for a in answers(driver.ask(600000 + key))])
+    assert spared > 25 and only_send(driver.ask(7))
--- a/tests/test_chunked_answers.py
+++ b/tests/test_chunked_answers.py
@@ -16,8 +16,8 @@
 from starlingthread.net.upstreams import messages
 
 from .chunked_values import GOT, LONG, VALUE
+from .fakes import ClientHarness, ServerActorHarness, run_client_script
 from .router_harness import RouterHarness
-from .standins import ClientHarness, ServerActorHarness, run_client_script
 
 
 async def start_attempt(server: ServerActorHarness, text: bytes = b"mg a v O1 Pc=read,d=500\r\n") -> Attempt:
--- a/tests/test_chunked_writes.py
+++ b/tests/test_chunked_writes.py
@@ -17,10 +17,10 @@
 from starlingthread.net.clients.limits import COMMAND_TIMEOUT_MS
 from starlingthread.net.upstreams import messages
 
+from .balancer_driver import THROUGH, BalancerDriver, answers, only_send, sends
 from .chunked_values import PUT, VALUE
+from .fakes import ClientHarness, ServerActorHarness, run_client_script, settle
 from .router_harness import RouterHarness
-from .standins import ClientHarness, ServerActorHarness, run_client_script, settle
-from .world import THROUGH, World, answers, only_send, sends
 
 
 def test_a_chunked_write_is_submitted_early_and_timed_from_its_last_byte() -> None:
@@ -170,9 +170,9 @@
 
 def test_a_single_use_request_is_attempted_once() -> None:
     for result in (AttemptResult.CONNECT_FAILED, AttemptResult.FULL, AttemptResult.RESET, AttemptResult.ERROR):
-        world = World(THROUGH._replace(hedging_allowed=True))
+        driver = BalancerDriver(THROUGH._replace(hedging_allowed=True))
         request = Request(1, 1, 2000.0, key=7, cost_hint=40.0, is_write=True, single_use=True)
-        send = only_send(world.do(request))
-        assert sends(world.pass_time(400.0)) == []  # no second copy of it either
-        after = world.end(send, result)
+        send = only_send(driver.do(request))
+        assert sends(driver.pass_time(400.0)) == []  # no second copy of it either
+        after = driver.end(send, result)
         assert sends(after) == [] and len(answers(after)) == 1
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -10,7 +10,7 @@
 from starlingthread.net import meta
 from starlingthread.net.clients import ClientConnectionActor, key_number
 
-from .standins import READS, ClientHarness, Writer, run_client_script
+from .fakes import READS, ClientHarness, Writer, run_client_script
 
 
 def test_responses_come_in_the_order_of_the_commands() -> None:
--- a/tests/test_core_overload.py
+++ b/tests/test_core_overload.py
@@ -11,8 +11,8 @@
 from starlingthread.core.cpu_monitor import CpuMonitor
 from starlingthread.limits.queue_limit import INTERVAL, PATIENCE, TARGET_QUEUE_TIME, QueueLimit
 
+from .balancer_driver import IDEMPOTENCY_KEY, READ, THROUGH, BalancerDriver
 from .peers import read_command, running_router, until, value_answer
-from .world import IDEMPOTENCY_KEY, READ, THROUGH, World
 
 LONG_WAIT = 4 * TARGET_QUEUE_TIME
 
@@ -55,31 +55,31 @@
     assert not limit.is_limited
 
 
-def overloaded_world() -> World:
-    world = World(THROUGH._replace(max_retry_after=2000.0))
-    queue_limit = world.balancer.admission.core.queue_limit
-    queue_limit.limit, queue_limit.limited_since = 8.0, world.now
-    return world
+def overloaded_driver() -> BalancerDriver:
+    driver = BalancerDriver(THROUGH._replace(max_retry_after=2000.0))
+    queue_limit = driver.balancer.admission.core.queue_limit
+    queue_limit.limit, queue_limit.limited_since = 8.0, driver.now
+    return driver
 
 
 def test_the_freshest_and_the_weightiest_requests_are_queued_first() -> None:
     """Guards against a core whose work all goes to requests that clients have waited for too long."""
-    world = overloaded_world()
+    driver = overloaded_driver()
     read, keyed = THROUGH.classes[READ], THROUGH.classes[IDEMPOTENCY_KEY]
-    shed = world.balancer.admission.check_queue
-    assert shed(world.now, read, read.deadline, 7) is None
-    assert shed(world.now, read, read.deadline, 8) is not None
-    assert shed(world.now, read, read.deadline * 0.5, 0) is not None
-    assert shed(world.now, keyed, keyed.deadline, 30) is None
+    shed = driver.balancer.admission.check_queue
+    assert shed(driver.now, read, read.deadline, 7) is None
+    assert shed(driver.now, read, read.deadline, 8) is not None
+    assert shed(driver.now, read, read.deadline * 0.5, 0) is not None
+    assert shed(driver.now, keyed, keyed.deadline, 30) is None
 
 
 def test_the_retry_after_of_an_overload_grows_with_its_length_and_is_spread() -> None:
-    world = overloaded_world()
+    driver = overloaded_driver()
     read = THROUGH.classes[READ]
 
     def advice(overloaded_for: float) -> list[float]:
-        now = world.now + overloaded_for
-        return [world.balancer.admission.check_queue(now, read, read.deadline, 100) or 0.0 for _ in range(50)]
+        now = driver.now + overloaded_for
+        return [driver.balancer.admission.check_queue(now, read, read.deadline, 100) or 0.0 for _ in range(50)]
 
     short, long = advice(0.0), advice(5000.0)
     assert 50.0 <= min(short) < max(short) <= 150.0 and len(set(short)) > 25
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -20,7 +20,7 @@
 from starlingthread.failover.zones import FIRST_TRIAL_DELAY, MAX_TRIAL_DELAY, ZoneFailover
 from starlingthread.membership.datagram import MAX_DATAGRAM_BYTES, DatagramError
 
-from .world import THROUGH, World, members, sends
+from .balancer_driver import THROUGH, BalancerDriver, members, sends
 
 NOW = 1e12  # ms
 KEY = b"0123456789abcdef"
@@ -315,21 +315,21 @@
     """Fewer than half as many attempts go to the zone as without failover."""
 
     def attempts_in_lost_zone(failover: bool) -> int:
-        world = World(THROUGH, members(6, zones=2))
+        driver = BalancerDriver(THROUGH, members(6, zones=2))
         if failover:
-            world.balancer.fleet.zones = ZoneFailover(0, range(4))
-            world.balancer.fleet.zones.set_servers(
-                (server.endpoint.zone, server.endpoint.server) for server in world.balancer.fleet.ready
+            driver.balancer.fleet.zones = ZoneFailover(0, range(4))
+            driver.balancer.fleet.zones.set_servers(
+                (server.endpoint.zone, server.endpoint.server) for server in driver.balancer.fleet.ready
             )
         count = 0
         for key in range(1, 200):
-            world.now += 5.0
-            for send in sends(world.ask(key)):
-                if world.balancer.fleet.servers[send.server].endpoint.zone == 1:
+            driver.now += 5.0
+            for send in sends(driver.ask(key)):
+                if driver.balancer.fleet.servers[send.server].endpoint.zone == 1:
                     count += 1
-                    world.end(send, AttemptResult.CONNECT_FAILED, elapsed=1.0)
+                    driver.end(send, AttemptResult.CONNECT_FAILED, elapsed=1.0)
                 else:
-                    world.end(send, AttemptResult.OK)
+                    driver.end(send, AttemptResult.OK)
         return count
 
     assert attempts_in_lost_zone(failover=True) < 0.5 * attempts_in_lost_zone(failover=False)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -22,9 +22,9 @@
 from starlingthread.net.clients.listener import bind
 from starlingthread.net.peers import PeerActor
 
+from .balancer_driver import THROUGH
+from .fakes import READS, ClientHarness, run_client_script
 from .router_harness import RouterHarness
-from .standins import READS, ClientHarness, run_client_script
-from .world import THROUGH
 
 
 class FakeProcess:
--- a/tests/test_maintenance_and_reload.py
+++ b/tests/test_maintenance_and_reload.py
@@ -29,43 +29,53 @@
 from starlingthread.net.upstreams.opener import PendingConnect
 from starlingthread.settings import Idempotency
 
+from .balancer_driver import (
+    IDEMPOTENCY_KEY,
+    NOT_IDEMPOTENT,
+    READ,
+    THROUGH,
+    BalancerDriver,
+    answers,
+    members,
+    only_send,
+    sends,
+)
+from .fakes import ClientHarness, ServerActorHarness, run_client_script
 from .router_harness import RouterHarness
-from .standins import ClientHarness, ServerActorHarness, run_client_script
-from .world import IDEMPOTENCY_KEY, NOT_IDEMPOTENT, READ, THROUGH, World, answers, members, only_send, sends
 
 # The decision module excludes servers in maintenance.
 
 
-def servers_used(world: World, count: int = 200) -> set[int]:
+def servers_used(driver: BalancerDriver, count: int = 200) -> set[int]:
     """Return the servers that reads of many keys are sent to."""
     used = set()
     for key in range(1, count + 1):
-        for send in sends(world.ask(key=key)):
+        for send in sends(driver.ask(key=key)):
             used.add(send.server)
-            world.now += 10.0
-            world.end(send, AttemptResult.OK)
+            driver.now += 10.0
+            driver.end(send, AttemptResult.OK)
     return used
 
 
 def test_a_server_in_maintenance_gets_no_requests_whatever_the_lists_say_until_its_maintenance_ends() -> None:
     """Lists that change, remove and add it again do not end the maintenance; only the operator does."""
-    world = World(THROUGH)
-    assert servers_used(world) == {1, 2, 3, 4}
-    world.do(Maintenance(2, True))
-    world.do(Maintenance(2, True))  # the call may come twice
-    assert servers_used(world) == {1, 3, 4} and world.balancer.excluded_servers(world.now) == [2]
+    driver = BalancerDriver(THROUGH)
+    assert servers_used(driver) == {1, 2, 3, 4}
+    driver.do(Maintenance(2, True))
+    driver.do(Maintenance(2, True))  # the call may come twice
+    assert servers_used(driver) == {1, 3, 4} and driver.balancer.excluded_servers(driver.now) == [2]
     endpoints = tuple(endpoint for endpoint in members() if endpoint.kind != 3)
-    world.do(EndpointList(EndpointListKind.FULL, 2, endpoints))
-    world.do(EndpointList(EndpointListKind.DELTA, 3, (endpoints[1]._replace(started=world.now - 50.0),)))
-    assert servers_used(world) == {1, 3, 4}
-    world.do(EndpointList(EndpointListKind.FULL, 4, tuple(e for e in endpoints if e.server != 2)))
-    world.pass_time(60000.0)
-    world.do(EndpointList(EndpointListKind.FULL, 5, endpoints))
-    assert servers_used(world) == {1, 3, 4}
-    world.do(Maintenance(2, False))
-    world.do(Maintenance(2, False))
-    world.pass_time(3000.0)
-    assert 2 in servers_used(world) and world.balancer.excluded_servers(world.now) == []
+    driver.do(EndpointList(EndpointListKind.FULL, 2, endpoints))
+    driver.do(EndpointList(EndpointListKind.DELTA, 3, (endpoints[1]._replace(started=driver.now - 50.0),)))
+    assert servers_used(driver) == {1, 3, 4}
+    driver.do(EndpointList(EndpointListKind.FULL, 4, tuple(e for e in endpoints if e.server != 2)))
+    driver.pass_time(60000.0)
+    driver.do(EndpointList(EndpointListKind.FULL, 5, endpoints))
+    assert servers_used(driver) == {1, 3, 4}
+    driver.do(Maintenance(2, False))
+    driver.do(Maintenance(2, False))
+    driver.pass_time(3000.0)
+    assert 2 in servers_used(driver) and driver.balancer.excluded_servers(driver.now) == []
 
 
 def test_retries_and_hedged_requests_avoid_servers_in_maintenance_too() -> None:
@@ -73,44 +83,44 @@
     settings = THROUGH._replace(hedging_allowed=True)
     for result in (AttemptResult.CONNECT_FAILED, AttemptResult.RESET, AttemptResult.NOT_SENT):
         for key in range(1, 40):
-            world = World(settings, seed=key)
-            first = only_send(world.ask(key=key))
-            world.do(Maintenance(first.server, True))
-            assert all(s.server != first.server for s in sends(world.end(first, result)))
-            second = only_send(world.ask(key=key + 100))
-            world.do(Maintenance(second.server, True))
-            assert not {s.server for s in sends(world.pass_time(900.0))} & {first.server, second.server}
+            driver = BalancerDriver(settings, seed=key)
+            first = only_send(driver.ask(key=key))
+            driver.do(Maintenance(first.server, True))
+            assert all(s.server != first.server for s in sends(driver.end(first, result)))
+            second = only_send(driver.ask(key=key + 100))
+            driver.do(Maintenance(second.server, True))
+            assert not {s.server for s in sends(driver.pass_time(900.0))} & {first.server, second.server}
 
 
 def test_with_all_servers_in_maintenance_a_request_is_rejected_at_once() -> None:
     """A request that no server may get does not wait for its deadline."""
-    world = World(THROUGH)
+    driver = BalancerDriver(THROUGH)
     for number in range(1, 5):
-        world.do(Maintenance(number, True))
-    (rejection,) = answers(world.ask())
+        driver.do(Maintenance(number, True))
+    (rejection,) = answers(driver.ask())
     assert isinstance(rejection, Reject)
 
 
 def test_a_server_after_maintenance_warms_up_from_the_end_of_it_until_the_list_has_its_start() -> None:
     """The list may show its restart only seconds after the maintenance ended: the slow-start budget must hold."""
-    world = World(THROUGH)
-    world.do(Maintenance(2, True))
-    world.pass_time(2000.0)
-    world.do(Maintenance(2, False))
-    server = world.balancer.fleet.servers[2]
-    assert server.warming_since == world.now and server.endpoint.started == 0.0
-    began = world.now
+    driver = BalancerDriver(THROUGH)
+    driver.do(Maintenance(2, True))
+    driver.pass_time(2000.0)
+    driver.do(Maintenance(2, False))
+    server = driver.balancer.fleet.servers[2]
+    assert server.warming_since == driver.now and server.endpoint.started == 0.0
+    began = driver.now
     sent_to_server = 0
     for key in range(1, 201):
-        send = only_send(world.ask(key=key))
+        send = only_send(driver.ask(key=key))
         sent_to_server += send.server == 2
-        world.now += 10.0
-        world.end(send, AttemptResult.OK)
+        driver.now += 10.0
+        driver.end(send, AttemptResult.OK)
     assert 0 < sent_to_server < 35  # a quarter would be 50; it starts at 0.3 of its capacity, and is at 0.5 by now
-    world.do(EndpointList(EndpointListKind.DELTA, 9, (server.endpoint._replace(started=began - 500.0),)))
-    assert world.balancer.fleet.servers[2].warming_since == began  # never assumed to be warmer than it may be
-    world.pass_time(8001.0)
-    assert servers_used(world) == {1, 2, 3, 4}
+    driver.do(EndpointList(EndpointListKind.DELTA, 9, (server.endpoint._replace(started=began - 500.0),)))
+    assert driver.balancer.fleet.servers[2].warming_since == began  # never assumed to be warmer than it may be
+    driver.pass_time(8001.0)
+    assert servers_used(driver) == {1, 2, 3, 4}
 
 
 def test_an_attempt_that_waits_for_a_connection_to_a_server_in_maintenance_is_handed_back() -> None:
@@ -281,10 +291,10 @@
 
 def test_the_service_time_of_a_class_that_remains_is_preserved() -> None:
     """A class is found again by its name, though its index changed; a new one begins with the default."""
-    world = World(THROUGH)
-    world.balancer.load.service_times["unsafe"].typical = 77.0
-    world.do(SettingsChanged(FEWER_CLASSES))
-    assert {name: service_time.typical for name, service_time in world.balancer.load.service_times.items()} == {
+    driver = BalancerDriver(THROUGH)
+    driver.balancer.load.service_times["unsafe"].typical = 77.0
+    driver.do(SettingsChanged(FEWER_CLASSES))
+    assert {name: service_time.typical for name, service_time in driver.balancer.load.service_times.items()} == {
         "unsafe": 77.0,
         "read-2": 50.0,
     }
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -16,9 +16,9 @@
 from starlingthread.events import AttemptResult
 from starlingthread.net.management import MAX_HEAD, REQUEST_TIMEOUT_MS, ManagementServer
 
+from .balancer_driver import THROUGH
+from .fakes import Writer
 from .router_harness import RouterHarness
-from .standins import Writer
-from .world import THROUGH
 
 
 class FakeRouter:
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -12,7 +12,7 @@
 from starlingthread import Balancer
 from starlingthread.settings import Settings
 
-from .world import ASIDE, CLASSES, World
+from .balancer_driver import ASIDE, CLASSES, BalancerDriver
 
 ROOT = Path(__file__).parents[1]
 FILES = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]
@@ -91,9 +91,9 @@
 
 
 def test_a_key_returns_to_the_server_that_counted_it() -> None:
-    world = World()
-    owners = {key: world.read(key) for key in range(1, 30)}
-    assert {key: world.read(key) for key in owners} == owners
+    driver = BalancerDriver()
+    owners = {key: driver.read(key) for key in range(1, 30)}
+    assert {key: driver.read(key) for key in owners} == owners
     assert len(set(owners.values())) > 1
 
 
--- a/tests/test_origin_limit.py
+++ b/tests/test_origin_limit.py
@@ -13,7 +13,7 @@
 from starlingthread.limits.limit_adjustment import adjust_limits
 from starlingthread.limits.origin_limit import OriginLimit
 
-from .world import IDEMPOTENCY_KEY, THROUGH, World, answers, members, only_send, sends
+from .balancer_driver import IDEMPOTENCY_KEY, THROUGH, BalancerDriver, answers, members, only_send, sends
 
 
 class Fetch(NamedTuple):
@@ -123,36 +123,36 @@
 
 def test_writes_reveal_the_origins_capacity_have_precedence_and_are_thinned_under_overload() -> None:
     """On the first site's overloaded day all writes failed at an overloaded origin and filled the servers' queues."""
-    world = World(THROUGH)
+    driver = BalancerDriver(THROUGH)
     for _ in range(60):
-        for send in sends(world.ask(7, IDEMPOTENCY_KEY)):
-            world.now += 500.0
-            world.end(send, AttemptResult.ERROR, elapsed=400.0)
-    limit = world.balancer.load.origin_limit.limit
-    assert limit.limit < 0.3 and sum(bool(sends(world.ask(8, IDEMPOTENCY_KEY))) for _ in range(100)) < 40
+        for send in sends(driver.ask(7, IDEMPOTENCY_KEY)):
+            driver.now += 500.0
+            driver.end(send, AttemptResult.ERROR, elapsed=400.0)
+    limit = driver.balancer.load.origin_limit.limit
+    assert limit.limit < 0.3 and sum(bool(sends(driver.ask(8, IDEMPOTENCY_KEY))) for _ in range(100)) < 40
     limit.limit = 2.0
-    assert len(sends(world.ask(8, IDEMPOTENCY_KEY))) == 1 and not sends(
-        world.ask(9)
+    assert len(sends(driver.ask(8, IDEMPOTENCY_KEY))) == 1 and not sends(
+        driver.ask(9)
     )  # never asked for: a fetch, most likely
 
 
 def test_while_servers_reject_requests_their_last_slots_go_to_hits() -> None:
     """On an overloaded day of the second site fetches, three times as long, held the slots that hits needed."""
-    world = World(THROUGH, members(1))
+    driver = BalancerDriver(THROUGH, members(1))
     for _ in range(6):
-        world.finish(only_send(world.ask(7)), 30.0)  # key 7 is cached now
-    (server,) = world.balancer.fleet.servers.values()
+        driver.finish(only_send(driver.ask(7)), 30.0)  # key 7 is cached now
+    (server,) = driver.balancer.fleet.servers.values()
     server.concurrency.limit = 8.5
-    world.balancer.affinity.prior_hit_probability = [0.0, 0.0]  # what is not counted is a fetch
+    driver.balancer.affinity.prior_hit_probability = [0.0, 0.0]  # what is not counted is a fetch
     for key in range(100, 105):
-        assert sends(world.ask(key))  # free slots for all: fetches are sent as well
-    assert sends(world.ask(105))
-    while sends(world.ask(7)):
+        assert sends(driver.ask(key))  # free slots for all: fetches are sent as well
+    assert sends(driver.ask(105))
+    while sends(driver.ask(7)):
         pass
     for _ in range(30):
-        assert answers(world.ask(7))
+        assert answers(driver.ask(7))
     server.attempts_in_flight -= 3  # some end and free their slots
-    assert not sends(world.ask(200)) and sends(world.ask(7))
+    assert not sends(driver.ask(200)) and sends(driver.ask(7))
     for _ in range(300):
-        world.balancer.admission.trunk_reservation.observe(False)
-    assert sends(world.ask(200))
+        driver.balancer.admission.trunk_reservation.observe(False)
+    assert sends(driver.ask(200))
--- a/tests/test_origin_throttle.py
+++ b/tests/test_origin_throttle.py
@@ -5,14 +5,14 @@
 from starlingthread.actions import Reject
 from starlingthread.events import AttemptResult
 
-from .world import NOT_IDEMPOTENT, ORIGIN, World, answers, only_send, sends
+from .balancer_driver import NOT_IDEMPOTENT, ORIGIN, BalancerDriver, answers, only_send, sends
 
 
-def fetch_result(world: World, key: int, result: AttemptResult, elapsed: float) -> bool:
+def fetch_result(driver: BalancerDriver, key: int, result: AttemptResult, elapsed: float) -> bool:
     """Read a key that is cached nowhere and end its fetch with a result; tell whether there was a fetch."""
-    first = only_send(world.ask(key))
+    first = only_send(driver.ask(key))
     if first.server != ORIGIN:
-        done = world.end(first, AttemptResult.MISS)
+        done = driver.end(first, AttemptResult.MISS)
         if not sends(done):
             assert answers(done) == [Reject(first.id)]
             return False
@@ -20,50 +20,50 @@
     else:
         fetch = first
     assert fetch.server == ORIGIN
-    world.now += elapsed
-    world.end(fetch, result, len(world.checker.seen[fetch.id].attempts) - 1, elapsed=elapsed)
+    driver.now += elapsed
+    driver.end(fetch, result, len(driver.checker.seen[fetch.id].attempts) - 1, elapsed=elapsed)
     return True
 
 
 def test_a_healthy_origin_gets_every_fetch() -> None:
-    world = World()
-    assert all(fetch_result(world, key, AttemptResult.OK, 60.0) for key in range(1, 60))
+    driver = BalancerDriver()
+    assert all(fetch_result(driver, key, AttemptResult.OK, 60.0) for key in range(1, 60))
 
 
 def test_an_overloaded_origin_gets_few_fetches() -> None:
     """Incident if95e43: fetches went on unchecked while 97% of them failed."""
-    world = World()
-    fetched = [fetch_result(world, key, AttemptResult.TIMEOUT, 400.0) for key in range(1, 60)]
+    driver = BalancerDriver()
+    fetched = [fetch_result(driver, key, AttemptResult.TIMEOUT, 400.0) for key in range(1, 60)]
     assert sum(fetched[20:]) < 0.4 * len(fetched[20:])
 
 
 def test_slow_fetches_raise_the_pressure_before_any_fails() -> None:
-    world = World()
+    driver = BalancerDriver()
     for key in range(1, 20):
-        fetch_result(world, key, AttemptResult.OK, 60.0)
-    fetched = [fetch_result(world, key, AttemptResult.OK, 900.0) for key in range(20, 40)]
+        fetch_result(driver, key, AttemptResult.OK, 60.0)
+    fetched = [fetch_result(driver, key, AttemptResult.OK, 900.0) for key in range(20, 40)]
     assert not all(fetched)
 
 
 def test_fetches_are_allowed_again_after_a_pause() -> None:
-    world = World()
+    driver = BalancerDriver()
     for key in range(1, 40):
-        fetch_result(world, key, AttemptResult.TIMEOUT, 400.0)
-    world.now += 60000
-    assert fetch_result(world, 1000, AttemptResult.OK, 60.0)
+        fetch_result(driver, key, AttemptResult.TIMEOUT, 400.0)
+    driver.now += 60000
+    assert fetch_result(driver, 1000, AttemptResult.OK, 60.0)
 
 
 def test_a_write_is_retried_at_a_full_origin_and_rejected_before_its_deadline() -> None:
-    world = World()
-    send = only_send(world.ask(cls=NOT_IDEMPOTENT, budget=2000.0))
-    assert not answers(world.end(send, AttemptResult.FULL))
+    driver = BalancerDriver()
+    send = only_send(driver.ask(cls=NOT_IDEMPOTENT, budget=2000.0))
+    assert not answers(driver.end(send, AttemptResult.FULL))
     final, number = [], 0
     for _ in range(60):
-        done = world.pass_time(50.0)
+        done = driver.pass_time(50.0)
         for again in sends(done):
             assert again.server == ORIGIN
             number += 1
-            done = done + world.end(again, AttemptResult.FULL, number)
+            done = done + driver.end(again, AttemptResult.FULL, number)
         final += answers(done)
     assert number >= 1
     assert final == [Reject(send.id)]
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from .standins import free_port
+from .fakes import free_port
 
 
 def test_sighup_applies_a_valid_file_and_ignores_an_invalid_one(tmp_path: Path) -> None:
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -8,56 +8,67 @@
 from starlingthread.events import AttemptResult, RequestCancelled
 from starlingthread.state.records import AffinityCount
 
-from .world import HEDGED, IDEMPOTENCY_KEY, NOT_IDEMPOTENT, READ, THROUGH, World, answers, only_send, sends, warmed_up
+from .balancer_driver import (
+    HEDGED,
+    IDEMPOTENCY_KEY,
+    NOT_IDEMPOTENT,
+    READ,
+    THROUGH,
+    BalancerDriver,
+    answers,
+    only_send,
+    sends,
+    warmed_up,
+)
 
 
 def test_a_slow_request_is_hedged_once_at_another_server_unless_it_is_not_idempotent() -> None:
     """Guards against connections that fall silent: a time-out at the deadline would be too late."""
-    world = World(HEDGED)
-    owner = warmed_up(world)
-    first = only_send(world.ask(7))
-    assert first.server == owner and not sends(world.pass_time(324.0))
-    second = only_send(world.pass_time(2.0))
-    assert second.server != owner and not sends(world.pass_time(400.0))
-    world.end(second, AttemptResult.OK, attempt=1, elapsed=30.0)
-    only_send(world.ask(7, NOT_IDEMPOTENT))
-    assert not sends(world.pass_time(900.0))
+    driver = BalancerDriver(HEDGED)
+    owner = warmed_up(driver)
+    first = only_send(driver.ask(7))
+    assert first.server == owner and not sends(driver.pass_time(324.0))
+    second = only_send(driver.pass_time(2.0))
+    assert second.server != owner and not sends(driver.pass_time(400.0))
+    driver.end(second, AttemptResult.OK, attempt=1, elapsed=30.0)
+    only_send(driver.ask(7, NOT_IDEMPOTENT))
+    assert not sends(driver.pass_time(900.0))
 
 
 def test_a_cancelled_request_is_not_hedged() -> None:
-    world = World(HEDGED)
-    warmed_up(world)
-    first = only_send(world.ask(7))
-    world.pass_time(324.0)  # the hedge is due 1 ms later
-    world.do(RequestCancelled(first.id))
-    assert not sends(world.pass_time(700.0))
+    driver = BalancerDriver(HEDGED)
+    warmed_up(driver)
+    first = only_send(driver.ask(7))
+    driver.pass_time(324.0)  # the hedge is due 1 ms later
+    driver.do(RequestCancelled(first.id))
+    assert not sends(driver.pass_time(700.0))
 
 
 def test_a_slow_request_at_a_server_that_answers_others_is_not_hedged() -> None:
     """Where servers finish cancelled requests too, three hedges in a hundred requests were a tenth of all work."""
-    world = World(HEDGED)
-    owner = warmed_up(world)
-    long, world.now = only_send(world.ask(7)), world.now + 100.0
-    assert world.read(7) == owner and long.server == owner
-    assert not sends(world.pass_time(800.0))
+    driver = BalancerDriver(HEDGED)
+    owner = warmed_up(driver)
+    long, driver.now = only_send(driver.ask(7)), driver.now + 100.0
+    assert driver.read(7) == owner and long.server == owner
+    assert not sends(driver.pass_time(800.0))
 
 
 def test_overtaken_requests_are_hedged_while_such_requests_are_lost() -> None:
     """On rate+silent+leave 19 of 20 requests that were overtaken timed out: single connections had died."""
-    world = World(HEDGED)
+    driver = BalancerDriver(HEDGED)
 
     def is_hedged(result: AttemptResult, left: float) -> bool:
-        warmed_up(world)
-        first, sent_at = only_send(world.ask(7)), world.now
-        world.now += 100.0
-        assert any(world.read(7) == first.server for _ in range(5))
-        hedges = sends(world.pass_time(400.0 + sent_at - world.now))
+        warmed_up(driver)
+        first, sent_at = only_send(driver.ask(7)), driver.now
+        driver.now += 100.0
+        assert any(driver.read(7) == first.server for _ in range(5))
+        hedges = sends(driver.pass_time(400.0 + sent_at - driver.now))
         for hedge in hedges:
-            world.end(hedge, AttemptResult.OK, attempt=1)
-            world.end(first, AttemptResult.CANCELLED)
+            driver.end(hedge, AttemptResult.OK, attempt=1)
+            driver.end(first, AttemptResult.CANCELLED)
         if not hedges:
-            world.now = sent_at + 1000.0 - left
-            world.end(first, result, elapsed=1000.0 - left)
+            driver.now = sent_at + 1000.0 - left
+            driver.end(first, result, elapsed=1000.0 - left)
         return bool(hedges)
 
     assert [is_hedged(AttemptResult.TIMEOUT, 0.0) for _ in range(40)].index(True) in range(10, 20)
@@ -68,28 +79,28 @@
 @pytest.mark.parametrize("lost_share", [0.0, 0.9])
 def test_lost_requests_do_not_lower_limits_and_earn_more_hedges(lost_share: float) -> None:
     """On churn+long of the second site a tenth of all got no response for 15 s, and a fifth was rejected for that."""
-    world = World(HEDGED)
-    warmed_up(world)
-    budget = world.balancer.hedging.budget
-    origin_limit = world.balancer.load.origin_limit
+    driver = BalancerDriver(HEDGED)
+    warmed_up(driver)
+    budget = driver.balancer.hedging.budget
+    origin_limit = driver.balancer.load.origin_limit
     budget.lost_share = lost_share
-    world.balancer.affinity.prior_hit_probability = [0.0, 0.0]
+    driver.balancer.affinity.prior_hit_probability = [0.0, 0.0]
     for key in range(100, 140):
         budget.tokens = 0.0
-        if not (sent := sends(world.ask(key))):
+        if not (sent := sends(driver.ask(key))):
             break
         first = sent[0]
-        world.now += 10.0
-        while world.read(7) != first.server:
-            world.now += 1.0
-            world.balancer.affinity.keys[7].counts = {first.server: AffinityCount(50.0, world.now, 1.0)}
-        world.now += 900.0
-        world.end(first, AttemptResult.TIMEOUT, elapsed=990.0)
+        driver.now += 10.0
+        while driver.read(7) != first.server:
+            driver.now += 1.0
+            driver.balancer.affinity.keys[7].counts = {first.server: AffinityCount(50.0, driver.now, 1.0)}
+        driver.now += 900.0
+        driver.end(first, AttemptResult.TIMEOUT, elapsed=990.0)
     assert origin_limit.limit.is_learned == (lost_share == 0.0)
     for _ in range(20):
         budget.on_first_attempt(500.0, True)
     assert (budget.tokens >= 2.0) == (lost_share > 0)
-    outliers = world.balancer.fleet.servers[first.server].outliers
+    outliers = driver.balancer.fleet.servers[first.server].outliers
     assert budget.is_worthwhile(outliers.last_response_at - 1.0, outliers, 0.0, 3.0, 0.5) == (
         lost_share > 0
     )  # a fetch out too long
@@ -97,12 +108,12 @@
 
 
 def test_hedges_are_few_and_none_are_sent_while_all_servers_are_slow() -> None:
-    world = World(HEDGED)
-    warmed_up(world)
-    asked = [only_send(world.ask(7)) for _ in range(100)]
-    hedges = len(sends(world.pass_time(400.0)))
+    driver = BalancerDriver(HEDGED)
+    warmed_up(driver)
+    asked = [only_send(driver.ask(7)) for _ in range(100)]
+    hedges = len(sends(driver.pass_time(400.0)))
     assert 0 < hedges <= 0.04 * (len(asked) + 41) + 1
-    slow = World(HEDGED)
+    slow = BalancerDriver(HEDGED)
     warmed_up(slow)
     slow.balancer.load.wait_estimates.mean_wait = 300.0
     slow.ask(7)
@@ -110,35 +121,35 @@
 
 
 def test_a_reset_attempt_is_retried_once_at_the_same_server_and_then_elsewhere() -> None:
-    world = World(THROUGH)
-    owner = warmed_up(world)
-    first = only_send(world.ask(7))
-    second = only_send(world.end(first, AttemptResult.RESET))
-    third = only_send(world.end(second, AttemptResult.RESET, attempt=1))
+    driver = BalancerDriver(THROUGH)
+    owner = warmed_up(driver)
+    first = only_send(driver.ask(7))
+    second = only_send(driver.end(first, AttemptResult.RESET))
+    third = only_send(driver.end(second, AttemptResult.RESET, attempt=1))
     assert first.server == second.server == owner != third.server
 
 
 def test_an_unexecuted_attempt_does_not_clear_another_one_at_the_same_server_and_time() -> None:
     """Guards the rule on rejections where a reset write with a key is retried at the same server at once."""
     keyed = THROUGH.classes[IDEMPOTENCY_KEY]._replace(deduplication_scope="zone")
-    world = World(THROUGH._replace(classes=(THROUGH.classes[READ], keyed)))
-    first = only_send(world.ask(7, IDEMPOTENCY_KEY))
-    second = only_send(world.end(first, AttemptResult.RESET, elapsed=0.0))
+    driver = BalancerDriver(THROUGH._replace(classes=(THROUGH.classes[READ], keyed)))
+    first = only_send(driver.ask(7, IDEMPOTENCY_KEY))
+    second = only_send(driver.end(first, AttemptResult.RESET, elapsed=0.0))
     assert second.server == first.server
-    world.balancer.fleet.servers[first.server].unavailable = True
-    for server in world.balancer.fleet.servers.values():
-        server.outliers.ejected_until = world.now + 9000.0
-    done = world.end(second, AttemptResult.CONNECT_FAILED, attempt=1, elapsed=0.0)
+    driver.balancer.fleet.servers[first.server].unavailable = True
+    for server in driver.balancer.fleet.servers.values():
+        server.outliers.ejected_until = driver.now + 9000.0
+    done = driver.end(second, AttemptResult.CONNECT_FAILED, attempt=1, elapsed=0.0)
     assert [type(a) for a in answers(done)] == [Fail]
 
 
 def test_a_failed_fetch_is_not_retried() -> None:
     """Guards an overloaded origin against retries, and the affinity counts against values never stored."""
-    world = World(THROUGH)
-    world.balancer.affinity.prior_hit_probability = [0.1, 0.1]
-    first = only_send(world.ask(9))
-    assert len(answers(world.end(first, AttemptResult.ERROR, elapsed=200.0))) == 1
+    driver = BalancerDriver(THROUGH)
+    driver.balancer.affinity.prior_hit_probability = [0.1, 0.1]
+    first = only_send(driver.ask(9))
+    assert len(answers(driver.end(first, AttemptResult.ERROR, elapsed=200.0))) == 1
     assert (
-        world.balancer.affinity.keys[9].counts[first.server].request_count < 0.1
-        and min(world.balancer.affinity.prior_hit_probability) < 0.1
+        driver.balancer.affinity.keys[9].counts[first.server].request_count < 0.1
+        and min(driver.balancer.affinity.prior_hit_probability) < 0.1
     )
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -26,8 +26,8 @@
 )
 from starlingthread.events import AttemptResult, CacheStatus
 
+from .balancer_driver import HEDGED, IDEMPOTENCY_KEY, NOT_IDEMPOTENT, READ, THROUGH
 from .router_harness import ManualClock, RouterHarness
-from .world import HEDGED, IDEMPOTENCY_KEY, NOT_IDEMPOTENT, READ, THROUGH
 
 
 def test_an_answer_goes_to_the_client_and_the_request_is_removed() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -21,7 +21,7 @@
 )
 from starlingthread.settings import Settings
 
-from .world import (
+from .balancer_driver import (
     ASIDE,
     CLASSES,
     IDEMPOTENCY_KEY,
@@ -29,7 +29,7 @@
     ORIGIN,
     READ,
     THROUGH,
-    World,
+    BalancerDriver,
     answers,
     members,
     only_send,
@@ -38,137 +38,139 @@
 
 
 def test_a_miss_is_fetched_from_the_origin() -> None:
-    world = World()
-    first = only_send(world.ask())
+    driver = BalancerDriver()
+    first = only_send(driver.ask())
     assert first.server != ORIGIN
-    fetch = only_send(world.end(first, AttemptResult.MISS))
+    fetch = only_send(driver.end(first, AttemptResult.MISS))
     assert fetch.server == ORIGIN
-    assert answers(world.end(fetch, AttemptResult.OK, 1)) == []
-    world.checker.all_answered()
+    assert answers(driver.end(fetch, AttemptResult.OK, 1)) == []
+    driver.checker.all_answered()
 
 
 @pytest.mark.parametrize("cls", [IDEMPOTENCY_KEY, NOT_IDEMPOTENT])
 def test_writes_go_to_the_origin_in_aside_mode(cls: int) -> None:
-    world = World()
-    assert only_send(world.ask(cls=cls)).server == ORIGIN
+    driver = BalancerDriver()
+    assert only_send(driver.ask(cls=cls)).server == ORIGIN
 
 
 @pytest.mark.parametrize(
     "result", [AttemptResult.ERROR, AttemptResult.TIMEOUT, AttemptResult.RESET, AttemptResult.CANCELLED]
 )
 def test_a_not_idempotent_request_that_may_have_been_executed_fails(result: AttemptResult) -> None:
-    world = World(THROUGH)
-    send = only_send(world.ask(cls=NOT_IDEMPOTENT, budget=2000.0))
-    done = world.end(send, result)
+    driver = BalancerDriver(THROUGH)
+    send = only_send(driver.ask(cls=NOT_IDEMPOTENT, budget=2000.0))
+    done = driver.end(send, result)
     assert sends(done) == []
     assert answers(done) == [Fail(send.id)]
 
 
 @pytest.mark.parametrize("result", [AttemptResult.FULL, AttemptResult.CONNECT_FAILED])
 def test_a_not_idempotent_request_that_was_not_executed_is_retried(result: AttemptResult) -> None:
-    world = World(THROUGH)
-    send = only_send(world.ask(cls=NOT_IDEMPOTENT, budget=2000.0))
-    assert only_send(world.end(send, result)).server != send.server
+    driver = BalancerDriver(THROUGH)
+    send = only_send(driver.ask(cls=NOT_IDEMPOTENT, budget=2000.0))
+    assert only_send(driver.end(send, result)).server != send.server
 
 
 def test_a_keyed_request_is_retried_in_its_deduplication_scope_and_window() -> None:
     zoned = (CLASSES[0], CLASSES[1]._replace(deduplication_scope="zone"), CLASSES[2])
-    world = World(THROUGH._replace(classes=zoned), members(4, zones=2))
-    send = only_send(world.ask(cls=IDEMPOTENCY_KEY, budget=2000.0))
-    world.now += 100
-    again = world.end(send, AttemptResult.ERROR)
+    driver = BalancerDriver(THROUGH._replace(classes=zoned), members(4, zones=2))
+    send = only_send(driver.ask(cls=IDEMPOTENCY_KEY, budget=2000.0))
+    driver.now += 100
+    again = driver.end(send, AttemptResult.ERROR)
     for more in sends(again):
         assert more.server % 2 == send.server % 2
     assert all(isinstance(a, Fail) for a in answers(again))
 
 
 def test_a_keyed_request_is_not_retried_after_its_idempotency_window() -> None:
-    world = World(THROUGH)
-    send = only_send(world.ask(cls=IDEMPOTENCY_KEY, budget=2000.0))
-    world.now += 1600
-    assert answers(world.end(send, AttemptResult.ERROR)) == [Fail(send.id)]
+    driver = BalancerDriver(THROUGH)
+    send = only_send(driver.ask(cls=IDEMPOTENCY_KEY, budget=2000.0))
+    driver.now += 1600
+    assert answers(driver.end(send, AttemptResult.ERROR)) == [Fail(send.id)]
 
 
 def test_a_timeout_at_the_deadline_gets_an_answer() -> None:
-    world = World()
-    send = only_send(world.ask())
-    world.now += 1000
-    done = world.end(send, AttemptResult.TIMEOUT)
+    driver = BalancerDriver()
+    send = only_send(driver.ask())
+    driver.now += 1000
+    done = driver.end(send, AttemptResult.TIMEOUT)
     assert len(answers(done)) == 1 and sends(done) == []
 
 
 def test_nothing_is_sent_for_a_cancelled_request() -> None:
-    world = World()
-    send = only_send(world.ask())
-    world.do(RequestCancelled(send.id))
-    assert sends(world.end(send, AttemptResult.MISS)) == []
-    assert world.do(RequestCancelled(send.id)) == []
+    driver = BalancerDriver()
+    send = only_send(driver.ask())
+    driver.do(RequestCancelled(send.id))
+    assert sends(driver.end(send, AttemptResult.MISS)) == []
+    assert driver.do(RequestCancelled(send.id)) == []
 
 
 def test_a_request_whose_response_has_begun_is_not_retried() -> None:
     streamed = (CLASSES[0]._replace(streamed=True), *CLASSES[1:])
-    world = World(ASIDE._replace(classes=streamed))
-    send = only_send(world.ask())
-    world.do(FirstByte(send.id, 0, send.server, 10.0))
-    world.now += 5000
-    assert world.do(Outcome(send.id, 0, send.server, AttemptResult.RESET, 5000.0, True)) == []
+    driver = BalancerDriver(ASIDE._replace(classes=streamed))
+    send = only_send(driver.ask())
+    driver.do(FirstByte(send.id, 0, send.server, 10.0))
+    driver.now += 5000
+    assert driver.do(Outcome(send.id, 0, send.server, AttemptResult.RESET, 5000.0, True)) == []
 
 
 def test_a_request_is_rejected_at_once_without_servers_and_origin() -> None:
-    world = World(ASIDE, ())
-    assert answers(world.ask()) == [Reject(1)]
-    assert answers(world.ask(cls=NOT_IDEMPOTENT)) == [Reject(2)]
+    driver = BalancerDriver(ASIDE, ())
+    assert answers(driver.ask()) == [Reject(1)]
+    assert answers(driver.ask(cls=NOT_IDEMPOTENT)) == [Reject(2)]
 
 
 def test_the_origin_is_used_without_cache_servers() -> None:
-    world = World(ASIDE, (Endpoint(ORIGIN, kind=3),))
-    assert only_send(world.ask()).server == ORIGIN
+    driver = BalancerDriver(ASIDE, (Endpoint(ORIGIN, kind=3),))
+    assert only_send(driver.ask()).server == ORIGIN
 
 
 @pytest.mark.parametrize("state", [ServerState.DRAINING, ServerState.GONE])
 def test_a_server_that_is_draining_or_gone_gets_nothing_more(state: ServerState) -> None:
-    world = World()
-    owner = world.read()
-    world.do(EndpointList(EndpointListKind.DELTA, 2, (Endpoint(owner, state=state),)))
+    driver = BalancerDriver()
+    owner = driver.read()
+    driver.do(EndpointList(EndpointListKind.DELTA, 2, (Endpoint(owner, state=state),)))
     for _ in range(20):
-        assert world.read() != owner
+        assert driver.read() != owner
 
 
 def test_a_server_missing_from_a_full_list_is_gone() -> None:
-    world = World()
-    owner = world.read()
-    world.do(EndpointList(EndpointListKind.FULL, 2, tuple(m for m in members() if m.server != owner)))
-    assert world.read() != owner
+    driver = BalancerDriver()
+    owner = driver.read()
+    driver.do(EndpointList(EndpointListKind.FULL, 2, tuple(m for m in members() if m.server != owner)))
+    assert driver.read() != owner
 
 
 def test_waiting_requests_share_one_fetch_and_then_go_to_the_cache() -> None:
-    world = World()
-    first = only_send(world.ask())
-    second = only_send(world.ask())
-    fetch = only_send(world.end(first, AttemptResult.MISS))
-    assert sends(world.end(second, AttemptResult.MISS)) == []
-    again = only_send(world.end(fetch, AttemptResult.OK, 1))
+    driver = BalancerDriver()
+    first = only_send(driver.ask())
+    second = only_send(driver.ask())
+    fetch = only_send(driver.end(first, AttemptResult.MISS))
+    assert sends(driver.end(second, AttemptResult.MISS)) == []
+    again = only_send(driver.end(fetch, AttemptResult.OK, 1))
     assert (again.id, again.server) == (second.id, second.server)
-    world.end(again, AttemptResult.OK, 1)
-    world.checker.all_answered()
+    driver.end(again, AttemptResult.OK, 1)
+    driver.checker.all_answered()
 
 
 def test_a_waiting_request_is_answered_before_its_deadline() -> None:
-    world = World()
-    first = only_send(world.ask(budget=1000.0))
-    second = only_send(world.ask(budget=400.0))
-    world.end(first, AttemptResult.MISS)
-    world.end(second, AttemptResult.MISS)
-    assert answers(world.pass_time(400)) == [Reject(second.id)]
+    driver = BalancerDriver()
+    first = only_send(driver.ask(budget=1000.0))
+    second = only_send(driver.ask(budget=400.0))
+    driver.end(first, AttemptResult.MISS)
+    driver.end(second, AttemptResult.MISS)
+    assert answers(driver.pass_time(400)) == [Reject(second.id)]
 
 
 def test_a_server_in_slow_start_gets_a_growing_share_of_keys() -> None:
     def share(age: float) -> float:
         accepted = 0
         for key in range(1, 201):
-            world = World(ASIDE._replace(router_count=1), (Endpoint(1, started=1000.0), Endpoint(ORIGIN, kind=3)))
-            world.now = 1000.0 + age
-            accepted += only_send(world.ask(key)).server == 1
+            driver = BalancerDriver(
+                ASIDE._replace(router_count=1), (Endpoint(1, started=1000.0), Endpoint(ORIGIN, kind=3))
+            )
+            driver.now = 1000.0 + age
+            accepted += only_send(driver.ask(key)).server == 1
         return accepted / 200
 
     assert share(0.0) < 0.45
@@ -176,21 +178,21 @@
 
 
 def test_a_server_in_slow_start_gets_few_requests_in_a_window_from_one_router() -> None:
-    world = World(ASIDE._replace(router_count=1), (Endpoint(1, started=1000.0), Endpoint(ORIGIN, kind=3)))
-    world.now += 7000.0
-    key = next(k for k in range(1, 50) if only_send(world.ask(k)).server == 1)
-    assert [only_send(world.ask(key)).server for _ in range(10)] == [ORIGIN] * 10
+    driver = BalancerDriver(ASIDE._replace(router_count=1), (Endpoint(1, started=1000.0), Endpoint(ORIGIN, kind=3)))
+    driver.now += 7000.0
+    key = next(k for k in range(1, 50) if only_send(driver.ask(k)).server == 1)
+    assert [only_send(driver.ask(key)).server for _ in range(10)] == [ORIGIN] * 10
 
 
 def test_unknown_ids_are_ignored() -> None:
-    world = World()
+    driver = BalancerDriver()
     for event in (RequestCancelled(77), Outcome(77, 0, 1, AttemptResult.OK, 1.0, True), FirstByte(77, 0, 1, 1.0)):
-        assert world.balancer.handle(world.now, event) == []
+        assert driver.balancer.handle(driver.now, event) == []
 
 
 def _stream(settings_: Settings, seed: int) -> list[object]:
     rng = random.Random(seed)
-    world = World(settings_, members(5, zones=2), seed=seed)
+    driver = BalancerDriver(settings_, members(5, zones=2), seed=seed)
     in_flight: dict[tuple[int, int], tuple[Send, float]] = {}
     seen: list[object] = []
 
@@ -198,46 +200,46 @@
         seen.extend(actions)
         for action in actions:
             if isinstance(action, Send):
-                number = len(world.checker.seen[action.id].attempts) - 1
-                in_flight[action.id, number] = (action, world.now)
+                number = len(driver.checker.seen[action.id].attempts) - 1
+                in_flight[action.id, number] = (action, driver.now)
 
     def end_overdue() -> None:
         """End, as the wire does, what is in flight at its deadline."""
         for (rid, number), (send, _) in list(in_flight.items()):
-            request = world.checker.seen[rid]
-            if world.now >= request.deadline:
+            request = driver.checker.seen[rid]
+            if driver.now >= request.deadline:
                 del in_flight[rid, number]
-                world.now, late = request.deadline, world.now
-                record([*world.do(Outcome(rid, number, send.server, AttemptResult.TIMEOUT, 0.0, request.over))])
-                world.now = late
+                driver.now, late = request.deadline, driver.now
+                record([*driver.do(Outcome(rid, number, send.server, AttemptResult.TIMEOUT, 0.0, request.over))])
+                driver.now = late
 
     for _ in range(150):
         dice = rng.random()
         if dice < 0.4:
             cls = rng.choice((READ, READ, IDEMPOTENCY_KEY, NOT_IDEMPOTENT))
-            record([*world.ask(rng.randrange(6), cls, rng.uniform(50, 2000))])
+            record([*driver.ask(rng.randrange(6), cls, rng.uniform(50, 2000))])
         elif dice < 0.75 and in_flight:
             (rid, number), (send, at) = rng.choice(list(in_flight.items()))
             del in_flight[rid, number]
             result = rng.choice(list(AttemptResult))
-            over = world.checker.seen[rid].over or result == AttemptResult.OK
-            record([*world.do(Outcome(rid, number, send.server, result, world.now - at, over))])
+            over = driver.checker.seen[rid].over or result == AttemptResult.OK
+            record([*driver.do(Outcome(rid, number, send.server, result, driver.now - at, over))])
         elif dice < 0.8:
             line = Endpoint(
                 rng.randrange(1, 7),
                 zone=rng.randrange(2),
                 state=rng.choice(list(ServerState)),
-                started=rng.choice((0.0, world.now)),
+                started=rng.choice((0.0, driver.now)),
             )
-            record([*world.do(EndpointList(EndpointListKind.DELTA, 2, (line,)))])
-        elif dice < 0.83 and world.checker.seen:
-            record([*world.do(RequestCancelled(rng.choice(list(world.checker.seen))))])
-        record([*world.pass_time(rng.choice((0, 0, 5, 40, 200)))])
+            record([*driver.do(EndpointList(EndpointListKind.DELTA, 2, (line,)))])
+        elif dice < 0.83 and driver.checker.seen:
+            record([*driver.do(RequestCancelled(rng.choice(list(driver.checker.seen))))])
+        record([*driver.pass_time(rng.choice((0, 0, 5, 40, 200)))])
         end_overdue()
     for _ in range(60):
-        record([*world.pass_time(50)])
+        record([*driver.pass_time(50)])
         end_overdue()
-    world.checker.all_answered()
+    driver.checker.all_answered()
     return seen
 
 
@@ -265,8 +267,8 @@
 
     A poll that is queued for 2 s and rejected, with a pause before it and after it, leaves 1 s for the answer.
     """
-    world = World(THROUGH._replace(must_poll=True), members(4))
+    driver = BalancerDriver(THROUGH._replace(must_poll=True), members(4))
     for _ in range(12):
-        (timer,) = world.do(EndpointList(EndpointListKind.FAILED, 1))
-        assert isinstance(timer, SetTimer) and timer.at - world.now <= 1500.0
-        assert WatchEndpoints(True) in world.pass_time(1500.0)
+        (timer,) = driver.do(EndpointList(EndpointListKind.FAILED, 1))
+        assert isinstance(timer, SetTimer) and timer.at - driver.now <= 1500.0
+        assert WatchEndpoints(True) in driver.pass_time(1500.0)
--- a/tests/test_server_choice.py
+++ b/tests/test_server_choice.py
@@ -4,29 +4,29 @@
 
 from starlingthread.events import AttemptResult
 
-from .world import ASIDE, ORIGIN, THROUGH, World, members, only_send, sends
+from .balancer_driver import ASIDE, ORIGIN, THROUGH, BalancerDriver, members, only_send, sends
 
 
 def test_an_overloaded_owner_is_passed_over_for_servers_that_are_in_time() -> None:
     """Incident i952281: the owners of a crowded zone rejected what idle servers could have answered."""
-    world = World(ASIDE, members(12))
-    owner = [world.read(7) for _ in range(12)][-1]
+    driver = BalancerDriver(ASIDE, members(12))
+    owner = [driver.read(7) for _ in range(12)][-1]
     for _ in range(5):  # the other servers are seen to be quick
         for key in range(100, 130):
-            world.now += 10.0
-            for send in sends(world.ask(key)):
-                world.end(send, AttemptResult.OK, elapsed=45.0)
-    late = only_send(world.ask(7))
+            driver.now += 10.0
+            for send in sends(driver.ask(key)):
+                driver.end(send, AttemptResult.OK, elapsed=45.0)
+    late = only_send(driver.ask(7))
     assert late.server == owner
-    world.end(late, AttemptResult.OK, elapsed=900.0)
+    driver.end(late, AttemptResult.OK, elapsed=900.0)
     for _ in range(10):
-        assert only_send(world.ask(7)).server not in (owner, ORIGIN)
+        assert only_send(driver.ask(7)).server not in (owner, ORIGIN)
 
 
 def test_a_key_gets_an_owner_in_the_zone_once_crossing_it_costs_as_much_as_a_fetch() -> None:
     def near(price: float, routers: int = 4) -> int:
-        world = World(THROUGH._replace(price_cross_zone=price, router_count=routers), members(8, zones=2))
-        owners = [world.read(key) for key in range(1, 200)]
+        driver = BalancerDriver(THROUGH._replace(price_cross_zone=price, router_count=routers), members(8, zones=2))
+        owners = [driver.read(key) for key in range(1, 200)]
         return sum(owner % 2 == 0 for owner in owners)
 
     # A fetch takes 75 ms as far as is known, the latency objective is 500 ms, and half of the servers are in our zone.
@@ -36,13 +36,13 @@
 
 def test_an_owner_with_too_many_attempts_in_flight_is_passed_over_before_any_response_is_late() -> None:
     """Guards zones that are a server short: the two owners left drew 80 requests a second each, the others 20."""
-    world = World(THROUGH)
+    driver = BalancerDriver(THROUGH)
     for key in range(1, 30):
-        world.read(key)
-    owner = world.read(7)
+        driver.read(key)
+    owner = driver.read(7)
     sent_to: dict[int, int] = {}
     for _ in range(80):  # a crowd for one key, of which nothing is answered yet
-        for send in sends(world.ask(7, cost=40.0)):
+        for send in sends(driver.ask(7, cost=40.0)):
             sent_to[send.server] = sent_to.get(send.server, 0) + 1
     # 500 ms of latency objective, two at a time, 30 ms each as was learned: more than that would be late at one server.
     assert sent_to[owner] <= 500 / 30 * 2 + 1 and len(sent_to) > 2
--- a/tests/test_service_time.py
+++ b/tests/test_service_time.py
@@ -10,7 +10,7 @@
 from starlingthread.events import Request
 from starlingthread.limits.service_time import ServiceTime
 
-from .world import READ, THROUGH, World, only_send
+from .balancer_driver import READ, THROUGH, BalancerDriver, only_send
 
 
 def learned(scale: float, noise: float, responses: int = 2000) -> ServiceTime:
@@ -51,10 +51,10 @@
 
 @pytest.mark.parametrize("hint", [0.0, 0.08, 80.0, 80000.0, 1e12])
 def test_the_balancer_learns_the_service_time_whatever_the_hints(hint: float) -> None:
-    world = World(THROUGH)
+    driver = BalancerDriver(THROUGH)
     for key in range(1, 300):
-        send = only_send(world.do(Request(key, READ, 1000.0, key=key, cost_hint=hint)))
-        world.now += 80.0
-        world.finish(send, 80.0)
-    tracked_cost = world.balancer.load.service_times["read"].expected(hint)
+        send = only_send(driver.do(Request(key, READ, 1000.0, key=key, cost_hint=hint)))
+        driver.now += 80.0
+        driver.finish(send, 80.0)
+    tracked_cost = driver.balancer.load.service_times["read"].expected(hint)
     assert tracked_cost == pytest.approx(80.0, rel=0.1)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import Any
 
-from .standins import free_port
+from .fakes import free_port
 
 SERVERS = 4
 CLIENTS = 24
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -12,8 +12,8 @@
 from starlingthread.net.upstreams.idle_failures import IdleFailureRates
 from starlingthread.net.upstreams.opener import PendingConnect
 
-from .standins import ANSWER, ServerActorHarness
-from .world import THROUGH
+from .balancer_driver import THROUGH
+from .fakes import ANSWER, ServerActorHarness
 
 
 def test_a_command_carries_the_attempts_timeout_and_its_connection_returns_to_the_pool() -> None:
