--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,118 +1,116 @@
-"""Case 3: a keyed write is sent again after its window, as the proof about one attempt is taken for both."""
+"""Case 3: a large value is cut off while its client reads it steadily, but slowly."""
 
 from __future__ import annotations
 
 import asyncio
+import socket
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from common import (
-    TROUBLE,
-    CacheServer,
-    CaseError,
-    Client,
-    Command,
-    Discovery,
-    Record,
-    Router,
-    grades,
-    run_case,
-    settings,
-)
-
-WINDOW_MS = 1500.0  # pages: on the short days a shorter window for repeats; polo-caruaru has 4000
-SLACK_MS = 50.0  # on sockets every time limit is longer by this
-HOLD_MS = 150.0  # a router may be held up for this long between reading its clock and writing
-HANG_MS = 3000.0  # the first cache server hangs for this long; its queue is full afterwards
-READS = 120
-READS_AT_ONCE = 4
-
-
-class Fleet:
-    """The cache servers, which drop repeats of a keyed write for the window."""
+from common import TROUBLE, CacheServer, CaseError, Command, Discovery, Record, Router, run_case, settings
+
+VALUE_BYTES = 4 << 20  # pages: values of up to 4 MiB occur
+BYTES_PER_S = 64 * 1024  # a slow client reads the value in 64 s
+PIECE_BYTES = 4096  # a piece each 63 ms
+RECEIVE_BUFFER_BYTES = 16384  # of the client's socket, as a small device has
+CLIENTS = 3
+LIMIT_S = 90.0
+
+
+class CacheServers:
+    """Send values at the speed at which the router takes them."""
 
     def __init__(self, record: Record) -> None:
         self.record = record
-        self.copies: list[Command] = []  # the copies of the keyed write in the order of their arrival
-        self.applied_at: list[float] = []  # times at which the write was applied, in ms
-        self.late_copies: list[str] = []
 
     async def handle(self, command: Command) -> None:
-        """Run a command and answer it."""
-        if not command.is_write:
-            await asyncio.sleep(0.01)
-            command.answer()
-            return
-        self.copies.append(command)
-        if len(self.copies) == 1 and TROUBLE:
-            await self._hang_and_turn_away(command)
-            return
-        self._run(command)
-        if len(self.copies) == 2 and TROUBLE:
-            self.record.write(f"cache server {command.server.name} reset the connection of the copy that it ran")
-            command.reset()
-        else:
-            await asyncio.sleep(0.1)
-            command.answer()
-
-    async def _hang_and_turn_away(self, command: Command) -> None:
-        """Hang before the command is read; then the queue is full, so the command is turned away and never runs."""
-        self.record.write(f"cache server {command.server.name} hangs")
-        await asyncio.sleep(HANG_MS / 1000.0)
-        self.record.write(f"cache server {command.server.name} goes on, and turns the copy away: busy, never run")
-        command.send(b"SERVER_ERROR busy\r\n")
-
-    def _run(self, command: Command) -> None:
-        now = self.record.now()
-        name = command.server.name
-        if self.applied_at and now - self.applied_at[-1] < WINDOW_MS:
-            self.record.write(f"cache server {name} dropped a repeat of the key {command.fields['k']}")
-            return
-        if self.applied_at:
-            self.late_copies.append(f"{name}, {now - self.applied_at[0]:.0f} ms after the first that ran")
-        self.applied_at.append(now)
-        self.record.write(f"cache server {name} APPLIED the write with the key {command.fields['k']}")
-
-
-async def read_many(record: Record, port: int, name: str) -> None:
-    """Send reads one after the other, as clients do before the disruption."""
-    client = await Client.connect(record, name, port)
-    for number in range(READS // READS_AT_ONCE):
-        client.send(f"mg item-{name}-{number % 10} v O{name}-{number} Pc=item-lookup,d=4000")
-        await client.answer()
-    client.close()
+        """Answer a read."""
+        command.send(b"VA %d O%b h1\r\n" % (VALUE_BYTES, command.request_id.encode()))
+        given = 0
+        try:
+            while given < VALUE_BYTES:
+                command.send(b"v" * 65536)
+                await command.writer.drain()
+                given += 65536
+            command.send(b"\r\n")
+            self.record.write(f"cache server {command.server.name} has given the whole value for {command.request_id}")
+        except OSError:
+            self.record.write(
+                f"cache server {command.server.name}: the router closed the connection under {command.request_id},"
+                f" {VALUE_BYTES - given} bytes of the value were still to be given"
+            )
+
+
+class SlowReader:
+    """A client that reads one value at a steady speed, and never stops."""
+
+    def __init__(self, record: Record, number: int, port: int) -> None:
+        self.record = record
+        self.number = number
+        self.port = port
+        self.is_whole = False
+        self.longest_pause_s = 0.0
+
+    async def run(self) -> None:
+        """Send the request and read the answer."""
+        name = f"c-{self.number}"
+        loop = asyncio.get_running_loop()
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        sock.setblocking(False)
+        await loop.sock_connect(sock, ("127.0.0.1", self.port))
+        reader, writer = await asyncio.open_connection(sock=sock, limit=PIECE_BYTES)
+        command = f"mg item-{self.number} v Oread-{self.number} Pc=item-lookup,d=4000"
+        self.record.write(f"client {name} sent: {command}")
+        writer.write(command.encode() + b"\r\n")
+        head = (await reader.readline()).decode().strip()
+        self.record.write(f"client {name} got the first line: {head}")
+        if not head.startswith("VA "):
+            raise CaseError("the read was not served")
+        expected = int(head.split(" ")[1]) + 2
+        began_at = last_at = time.monotonic()
+        received = 0
+        while received < expected and (data := await reader.read(PIECE_BYTES)):
+            received += len(data)
+            now = time.monotonic()
+            self.longest_pause_s = max(self.longest_pause_s, now - last_at)
+            last_at = now
+            if TROUBLE:
+                await asyncio.sleep(max(0.0, began_at + received / BYTES_PER_S - now))
+        self.is_whole = received == expected
+        end = "the whole value" if self.is_whole else "the end of its connection"
+        self.record.write(
+            f"client {name}: {received} of {expected} bytes in {time.monotonic() - began_at:.1f} s, then {end};"
+            f" it never paused longer than {self.longest_pause_s:.2f} s"
+        )
+        writer.close()
 
 
 async def case(record: Record, folder: Path) -> bool:
-    """Return whether a keyed write was sent again, and applied again, after its window."""
-    names = ("s-1", "s-2", "s-3", "s-4")
+    """Return whether a value was cut off."""
+    names = ("s-1", "s-2", "s-3")
     discovery = Discovery(dict.fromkeys(names, "bloco-a"))
-    fleet = Fleet(record)
-    servers = [CacheServer(name, record, fleet.handle) for name in names]
+    servers = [CacheServer(name, record, CacheServers(record).handle) for name in names]
     for server in servers:
         await server.start()
         discovery.add(server.name, server.port)
     await discovery.start()
-    router = Router(record, folder, discovery, settings(grades=grades(WINDOW_MS)))
+    router = Router(record, folder, discovery, settings())
     try:
         await router.start()
-        await asyncio.gather(*(read_many(record, router.port, f"r{n}") for n in range(READS_AT_ONCE)))
-        await asyncio.sleep(0.5)
-        client = await Client.connect(record, "c-1", router.port)
-        client.send("ms sale-1 4 Osale-1 Pc=record-sale,d=4000,k=5c0f6e1a2b3d4c59", "sale")
-        await client.answer()
-        await asyncio.sleep(0.5)
+        readers = [SlowReader(record, number, router.port) for number in range(CLIENTS)]
+        async with asyncio.timeout(LIMIT_S):
+            await asyncio.gather(*(reader.run() for reader in readers))
+        if router.process is None or router.process.returncode is not None:
+            raise CaseError("the router has ended")
     finally:
         await router.end()
-    if not fleet.copies or (TROUBLE and len(fleet.copies) < 2):
-        raise CaseError(f"only {len(fleet.copies)} copies of the write were sent: there was no hedged request")
-    late = len(fleet.applied_at) > 1 and fleet.applied_at[1] - fleet.applied_at[0] > WINDOW_MS + SLACK_MS + HOLD_MS
-    record.write(
-        f"the write was applied {len(fleet.applied_at)} times; after the window: {fleet.late_copies or 'none'}"
-    )
-    return late
+    cut = sum(not reader.is_whole for reader in readers)
+    record.write(f"values: {len(readers)}; cut off: {cut}")
+    return cut > 0
 
 
 if __name__ == "__main__":
