Count all that a streamed value holds, so that slow readers keep to the memory limit

Cause: a value was counted only while it was in its pipe. Large writes to slow servers held as much.

Change: a piece counts from before it is read (ReadReservation, also for the first read of each answer) until the other transport is empty (Pipe.release). The socket of a full pipe is paused, and no other copy of a piece is kept. The line "counters" has the bytes held, as nothing told them.

--- a/starlingthread/limits/budgets.py
+++ b/starlingthread/limits/budgets.py
@@ -26,7 +26,7 @@
 MEMORY_GROWTH_FACTOR = 1.25
 # Share of the remaining memory for values that are buffered completely.
 BUFFERED_SHARE = 0.3
-# Share of the remaining memory for the parts of streamed values beyond one chunk each.
+# Share of the remaining memory for the parts of streamed values beyond one small read each.
 STREAMED_SHARE = 0.2
 # The remaining memory is taken to be at least this, as a router that cannot buffer any value cannot serve any request.
 MIN_REMAINING_MB = 2.0
--- a/starlingthread/net/clients/closing.py
+++ b/starlingthread/net/clients/closing.py
@@ -35,7 +35,6 @@
         # With unsent data, asyncio would send the end of file from its own callback, where a reset after the last byte
         # raises an exception that nothing handles. Without unsent data, drain() does not yield, so the end of file is
         # sent in the same turn of the event loop in which nothing was found unread or unanswered.
-        transport.set_write_buffer_limits(0)
         await writer.drain()
         writer.write_eof()
         await asyncio.gather(reading, return_exceptions=True)  # the task releases the stream
--- a/starlingthread/net/clients/listener.py
+++ b/starlingthread/net/clients/listener.py
@@ -12,7 +12,7 @@
 from ...core.router import Router
 from ...core.task_supervisor import TaskSupervisor
 from ...settings import Settings
-from ..streams import DisconnectAwareProtocol, disable_nagle, limit_read_size
+from ..streams import DisconnectAwareProtocol, disable_nagle, drain_completely, limit_read_size
 from .accept_loop import AcceptLoop
 from .accept_queue import MAX_BACKLOG
 from .acceptor import SocketCounts
@@ -126,6 +126,7 @@
             return
         limit_read_size(writer, READ_BYTES)
         disable_nagle(writer)
+        drain_completely(writer)
         actor = ClientConnectionActor(
             self, reader, writer, self.capacity.on_closed, self.capacity.on_eviction_cancelled
         )
@@ -136,6 +137,10 @@
             protocol.consume = actor.early_rejector.consume
         self.supervisor.start(actor.run(), "client", lambda _: actor.close())
 
+    def unsent_bytes(self) -> int:
+        """Return how many bytes of responses the operating system has not taken yet."""
+        return sum(actor.writer.transport.get_write_buffer_size() for actor in self.connections)
+
     # disconnects
 
     def watch_for_disconnect(self, connection: PausedConnection) -> None:
--- a/starlingthread/net/clients/reader.py
+++ b/starlingthread/net/clients/reader.py
@@ -7,7 +7,7 @@
 
 from ...core.pipe import Pipe
 from .. import meta
-from ..streams import PEER_CLOSED_EVENTS, has_poll_event
+from ..streams import PEER_CLOSED_EVENTS, has_poll_event, paused_reading
 from .context import ConnectionState, ListenerContext
 from .limits import READ_BYTES
 from .requests import ClientRequests
@@ -60,23 +60,36 @@
         self._responses.mailbox.wake()
 
     async def _read_commands(self) -> None:
-        state = self._state
-        while not state.framing_lost and (data := await self._stream.read(READ_BYTES)):
-            for item in self._parser.feed(data):
-                if isinstance(item, meta.ValueChunk):
-                    self._requests.accept_chunk(item)
-                    continue
-                if self._responses.is_full() and not await self._wait_for_slot():
-                    return
-                state.partial_since = None
-                self._requests.accept(item)
-                if state.framing_lost:
-                    break
-            self.processed_bytes += len(data)
-            self._update_partial_since()
+        while not self._state.framing_lost and await self._read():
             incoming = self._requests.incoming
-            if incoming is not None and incoming.pipe.is_full():
+            if incoming is None:
+                continue
+            if incoming.pipe.is_full():
                 await self._wait_for_pipe(incoming.pipe)
+            incoming.pipe.reserve_read(READ_BYTES)
+
+    async def _read(self) -> bool:
+        """Read and process the next bytes; return whether to continue to read. No copy of the bytes is kept."""
+        data = await self._stream.read(READ_BYTES)
+        if not data or not await self._process(data):
+            return False
+        self.processed_bytes += len(data)
+        self._update_partial_since()
+        return True
+
+    async def _process(self, data: bytes) -> bool:
+        """Process received bytes; return False if the client has disconnected before a response slot was free."""
+        for item in self._parser.feed(data):
+            if isinstance(item, meta.ValueChunk):
+                self._requests.accept_chunk(item)
+                continue
+            if self._responses.is_full() and not await self._wait_for_slot():
+                return False
+            self._state.partial_since = None
+            self._requests.accept(item)
+            if self._state.framing_lost:
+                break
+        return True
 
     async def _wait_for_slot(self) -> bool:
         """Wait for a free response slot; return False if the client disconnects first.
@@ -98,7 +111,8 @@
     async def _wait_for_pipe(self, pipe: Pipe) -> None:
         """Wait until the pipe of the incoming value accepts more data."""
         self._listener.watch_for_disconnect(self)
-        await pipe.wait_until_not_full()
+        with paused_reading(self._writer):
+            await pipe.wait_until_not_full()
         self._state.partial_since = self._listener.clock.now()
 
     def check_for_disconnect(self) -> bool:
--- a/starlingthread/net/clients/writer.py
+++ b/starlingthread/net/clients/writer.py
@@ -45,11 +45,10 @@
         if self._state.disconnected:
             pipe.abandon()
         while not pipe.is_finished():
-            for chunk in pipe.take():
-                self._writer.write(chunk)
-                if self._exceeds_unsent_limit():
-                    await self._drain()
-            await pipe.wait_for_data()
+            if pipe.has_more():
+                await self._write_piece(pipe)
+            else:
+                await pipe.wait_for_data()
         self._streaming = None
         self._state.last_used_at = self._listener.clock.now()
         if not pipe.complete or pipe.abandoned:
@@ -57,6 +56,15 @@
             self._writer.transport.abort()
             raise ConnectionAbortedError
 
+    async def _write_piece(self, pipe: Pipe) -> None:
+        """Write the next piece of a chunked value, and wait until the operating system has all of it."""
+        self._writer.write(pipe.take())
+        try:
+            if self._writer.transport.get_write_buffer_size():
+                await self._drain()
+        finally:
+            pipe.release()
+
     def _exceeds_unsent_limit(self) -> bool:
         return self._writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES
 
--- a/starlingthread/net/meta/answers.py
+++ b/starlingthread/net/meta/answers.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from .buffer import MAX_HEAD_BYTES, MAX_UNCHUNKED_BYTES, MAX_VALUE_BYTES, LineBuffer, ValueChunk
+from .buffer import MAX_HEAD_BYTES, MAX_UNCHUNKED_BYTES, MAX_VALUE_BYTES, LineBuffer, ValueChunk, is_inside_value
 from .responses import CRLF
 
 # A load value has at most six digits before the decimal point: no server has a million requests in flight.
@@ -158,6 +158,10 @@
         """
         if self._failed:
             return
+        if not self._buffer.unread_bytes() and is_inside_value(data, self._chunk_bytes_left):
+            self._chunk_bytes_left -= len(data)
+            yield ValueChunk(data, False)
+            return
         self._buffer.append(data)
         while not self._failed and (answer := self._next()) is not None:
             self._failed = isinstance(answer, ServerAnswer) and answer.kind == AnswerKind.OTHER
--- a/starlingthread/net/meta/buffer.py
+++ b/starlingthread/net/meta/buffer.py
@@ -18,6 +18,14 @@
     last: bool
 
 
+def is_inside_value(data: bytes, remaining: int) -> bool:
+    """Return whether all received bytes belong to a value of which 'remaining' bytes, with its CRLF, are missing.
+
+    None of them is part of the CRLF, so they can be passed on as they are.
+    """
+    return len(data) <= remaining - 2
+
+
 class LineBuffer:
     """An input buffer that is read in lines and blocks; no byte is scanned twice for a line end."""
 
@@ -55,8 +63,15 @@
         with memoryview(self._buffer) as view:
             data = bytes(view[self._position : self._position + size])
         self._position += size
+        if not self.unread_bytes():
+            self._clear()
         return data
 
+    def _clear(self) -> None:
+        """Release the memory of the buffer, as it may be long until more bytes arrive."""
+        self._buffer.clear()
+        self._position = self._scanned = 0
+
     def read_available(self, limit: int) -> bytes:
         """Read the available bytes, at most limit of them."""
         return self.read_block(min(limit, self.unread_bytes())) or b""
--- a/starlingthread/net/meta/commands.py
+++ b/starlingthread/net/meta/commands.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from typing import NamedTuple, TypeAlias
 
-from .buffer import MAX_HEAD_BYTES, MAX_UNCHUNKED_BYTES, MAX_VALUE_BYTES, LineBuffer, ValueChunk
+from .buffer import MAX_HEAD_BYTES, MAX_UNCHUNKED_BYTES, MAX_VALUE_BYTES, LineBuffer, ValueChunk, is_inside_value
 from .responses import CRLF, ERROR_LINE
 
 NUMBER_PATTERN = re.compile(r"\d{1,15}(?:\.\d{1,9})?")  # pattern of a number in the fields of a command
@@ -143,6 +143,10 @@
         """Parse received bytes and yield complete items; once framing is lost all further input is ignored."""
         if self._framing_lost:
             return
+        if not self._buffer.unread_bytes() and is_inside_value(data, self._chunk_bytes_left):
+            self._chunk_bytes_left -= len(data)
+            yield ValueChunk(data, False)
+            return
         self._buffer.append(data)
         while (item := self._next()) is not None:
             self._framing_lost = isinstance(item, MalformedCommand) and item.framing_lost
--- a/starlingthread/net/streams.py
+++ b/starlingthread/net/streams.py
@@ -6,7 +6,8 @@
 import contextlib
 import select
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from typing import Any
 
 # Poll events of a connection that its peer has closed or reset; they are reported even while received bytes are unread.
 PEER_CLOSED_EVENTS = select.POLLHUP | select.POLLERR | getattr(select, "POLLRDHUP", 0)
@@ -21,6 +22,27 @@
         writer.transport.max_size = max_bytes
 
 
+@contextlib.contextmanager
+def paused_reading(writer: asyncio.StreamWriter) -> Iterator[None]:
+    """Leave received bytes in the operating system meanwhile, where they count in no budget of this process."""
+    transport: Any = writer.transport
+    if not transport.is_closing():
+        transport.pause_reading()
+    try:
+        yield
+    finally:
+        if not transport.is_closing():
+            transport.resume_reading()
+
+
+def drain_completely(writer: asyncio.StreamWriter) -> None:
+    """Have drain() wait until all written bytes are passed to the operating system.
+
+    By default it returns while up to 64 KB are unsent.
+    """
+    writer.transport.set_write_buffer_limits(0)
+
+
 def disable_nagle(writer: asyncio.StreamWriter) -> None:
     """Disable Nagle's algorithm (TCP_NODELAY), so that small writes are sent at once.
 
--- a/starlingthread/net/upstreams/connection.py
+++ b/starlingthread/net/upstreams/connection.py
@@ -7,8 +7,9 @@
 
 from ...core.deadlines import Deadline
 from ...core.messages import Attempt
-from ...core.pipe import Pipe
+from ...core.pipe import ByteBudget, Pipe, ReadReservation
 from .. import meta
+from ..streams import limit_read_size
 
 READ_BYTES = 65536  # maximum size of one read
 # A 'busy' for a request written this soon after the previous answer may be a stray line that belongs to that answer.
@@ -33,6 +34,7 @@
     """A connection to a cache server, owned by the pool of that server."""
 
     __slots__ = (
+        "_first_read",
         "address",
         "answered_at",
         "awaiting_response",
@@ -54,6 +56,7 @@
         self.writer = writer
         self.address = address
         self.parser = meta.AnswerParser()
+        self._first_read: ReadReservation | None = None
         self.exchange: Exchange | None = None
         self.awaiting_response = False  # an exchange was written and its answer is not complete yet
         self.out_of_sync = False  # data arrived that was not requested: answers can't be matched any more
@@ -75,6 +78,27 @@
         """Whether the last write followed an answer so soon that a 'busy' may be a stray line after that answer."""
         return self.written_at - self.answered_at < STRAY_BUSY_WINDOW_MS
 
+    def reserve_first_read(self, budget: ByteBudget) -> None:
+        """Reserve the first read of an answer, as its value may turn out to be streamed."""
+        self.release_first_read()
+        read_bytes = min(READ_BYTES, budget.window_bytes())
+        self._first_read = ReadReservation(budget)
+        self._first_read.set(read_bytes)
+        limit_read_size(self.writer, read_bytes)
+
+    def release_first_read(self) -> None:
+        """Return the reserved bytes, as they were read or will not arrive."""
+        if self._first_read is not None:
+            self._first_read.set(0)
+            self._first_read = None
+
+    def limit_next_read(self) -> None:
+        """Limit the next read of an answer that has arrived in part; reserve it if the value is streamed."""
+        if self.response_pipe is not None:
+            limit_read_size(self.writer, self.response_pipe.reserve_read(READ_BYTES))
+        elif self.parser.has_partial_input():
+            limit_read_size(self.writer, READ_BYTES)
+
     def is_reusable(self, address: tuple[str, int]) -> bool:
         """Whether another request can be sent: the connection is open, in sync, and to the server's current address."""
         return not (
--- a/starlingthread/net/upstreams/pool.py
+++ b/starlingthread/net/upstreams/pool.py
@@ -62,6 +62,7 @@
         connection.exchange = exchange
         connection.awaiting_response = True
         connection.written_at = self._context.clock.now()
+        connection.reserve_first_read(self._context.value_budget)
         self.busy[exchange] = connection
 
     def mark_streaming(self, connection: Connection) -> None:
@@ -85,6 +86,7 @@
             return
         connection.closed = True
         self._context.deadlines.clear(connection.read_timer)
+        connection.release_first_read()
         if connection.response_pipe is not None:
             connection.response_pipe.finish(False)
         if connection.request_body is not None:
--- a/starlingthread/net/upstreams/reader.py
+++ b/starlingthread/net/upstreams/reader.py
@@ -6,6 +6,7 @@
 
 from ...core.pipe import Pipe
 from .. import meta
+from ..streams import paused_reading
 from .connection import READ_BYTES, Connection
 from .context import UpstreamContext
 from .messages import AnswerReceived, ConnectionLost, Message, ReadTimedOut, ValueReceived
@@ -26,9 +27,7 @@
     async def run(self, connection: Connection) -> None:
         """Read a connection until it ends, also while it is idle, so that its end is noticed at once."""
         try:
-            while data := await connection.reader.read(READ_BYTES):
-                if not self.on_data(connection, data):
-                    break
+            while await self._read(connection):
                 pipe = connection.response_pipe
                 if pipe is not None and not await self.wait_until_not_full(connection, pipe):
                     break
@@ -36,11 +35,18 @@
             pass
         self._post(ConnectionLost(connection))
 
+    async def _read(self, connection: Connection) -> bool:
+        """Read and process the next bytes; return whether to continue to read. No copy of the bytes is kept."""
+        connection.limit_next_read()
+        data = await connection.reader.read(READ_BYTES)
+        return bool(data) and self.on_data(connection, data)
+
     async def wait_until_not_full(self, connection: Connection, pipe: Pipe) -> bool:
         """Wait until more of a streamed value may be read; return False if its consumer has abandoned it."""
         if pipe.is_full():
             self._clear_read_timeout(connection)
-            await pipe.wait_until_not_full()
+            with paused_reading(connection.writer):
+                await pipe.wait_until_not_full()
             self.set_read_timeout(connection, connection.parser.has_partial_input(), is_recheck=False)
         return not pipe.abandoned
 
@@ -50,6 +56,7 @@
         A duplicate, noise or a stray line after an answer does not invalidate that answer, but the connection is not
         reused: otherwise the extra data could be mistaken for the answer to the next request.
         """
+        connection.release_first_read()
         for item in connection.parser.feed(data):
             self._on_item(connection, item)
             if connection.out_of_sync:
--- a/starlingthread/net/upstreams/writer.py
+++ b/starlingthread/net/upstreams/writer.py
@@ -50,14 +50,23 @@
         """Write a streamed value as its chunks arrive, with back-pressure from the server."""
         try:
             while not connection.closed and not body.is_finished():
-                chunks = body.take()
-                for chunk in chunks:
-                    if body.complete and chunk is chunks[-1] and not body.has_more():
-                        # This chunk holds the last byte: once it is written, the request may have been executed.
-                        connection.request_body = None
-                        self._context.router.telemetry.backend_calls += 1
-                    connection.writer.write(chunk)
-                    await connection.writer.drain()
-                await body.wait_for_data()
+                if body.has_more():
+                    await self._write_piece(connection, body)
+                else:
+                    await body.wait_for_data()
         except OSError:
             self._post(ConnectionLost(connection))
+
+    async def _write_piece(self, connection: Connection, body: Pipe) -> None:
+        """Write the next piece of a streamed value, and wait until the operating system has all of it."""
+        piece = body.take()
+        if body.complete and not body.has_more():
+            # This piece holds the last byte: once it is written, the request may have been executed.
+            connection.request_body = None
+            self._context.router.telemetry.backend_calls += 1
+        connection.writer.write(piece)
+        del piece  # while it is unsent, the transport has a copy
+        try:
+            await connection.writer.drain()
+        finally:
+            body.release()
--- a/starlingthread/router_process/actors.py
+++ b/starlingthread/router_process/actors.py
@@ -80,11 +80,14 @@
         )
 
     def open_counts(self) -> dict[str, int]:
-        """Return the numbers of open connections and requests, by the keys under which they are logged."""
+        """Return the open connections and requests, and the bytes held for them, by their keys in the log."""
         return {
             "clients.open": len(self.clients.connections),
+            "clients.unsent_bytes": self.clients.unsent_bytes(),
             "requests.open": len(self.router.requests),
             "connections.open": sum(server.pool.open_count for server in self.fleet.actors.values()),
+            "values.buffered_bytes": self.clients.buffered_bytes,
+            "values.streamed_bytes": self.clients.budget.used,
         }
 
     def close(self) -> None:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -43,6 +43,9 @@
     def is_reading(self) -> bool:
         return not self.closed and not self.paused
 
+    def set_write_buffer_limits(self, high: int) -> None:
+        pass
+
     def pause_reading(self) -> None:
         self.paused = True
 
