--- a/starlingthread/core/pipe.py
+++ b/starlingthread/core/pipe.py
@@ -111,7 +111,7 @@
         return self.held > 0 and self.held + MIN_READ_BYTES > self._budget.window_bytes()
 
     def is_producer_waiting(self) -> bool:
-        """Return whether the producer waits, which it does until its own consumer goes on, also if others free memory."""
+        """Return whether the producer waits, which lasts until its own consumer goes on."""
         return self._producer_waiter is not None
 
     async def wait_until_not_full(self) -> None:
