Cut off a client only once it has stopped reading, not while it reads slowly

Cause: one timer of 10 s for the whole wait until the system takes more bytes. Its send buffer grows to 3.6 MB here and counts as writable only when a third of it is free, for which such a client takes 18 s.

Change: WriteStallTimer looks each 2.5 s at what is unsent or unacknowledged (TIOCOUTQ), and aborts a client that has taken nothing for 10 s. The same at the close of a connection (linger, close), where the last response was cut off in the same way. A connection counts as lingering only once all is sent, as lingering ones are evicted at once.

--- a/starlingthread/net/clients/closing.py
+++ b/starlingthread/net/clients/closing.py
@@ -8,7 +8,7 @@
 
 from ..streams import has_poll_event
 from .context import ConnectionState, ListenerContext
-from .limits import LINGER_TIMEOUT_MS, MAX_LINGER_BYTES, READ_BYTES, WRITE_STALL_TIMEOUT_MS
+from .limits import LINGER_TIMEOUT_MS, MAX_LINGER_BYTES, READ_BYTES
 
 
 async def linger(
@@ -22,20 +22,15 @@
 
     This protects the last responses: closing a socket with unread data resets the connection, and the client loses
     the responses that it has not read yet. A request that arrives now crossed our end of file, so its client sends it
-    again on another connection.
+    again on another connection. Nothing may be unsent: asyncio would send the end of file from its own callback, where
+    a reset after the last byte raises an exception that nothing handles.
     reading: the task that reads the stream, which is already cancelled
     """
     state.lingering = True
     state.last_used_at = listener.clock.now()
     transport = writer.transport
-    # Unsent data is sent before our end of file.
-    timeout = WRITE_STALL_TIMEOUT_MS if transport.get_write_buffer_size() else LINGER_TIMEOUT_MS
-    timer = listener.deadlines.set(state.last_used_at + timeout, transport.abort)
+    timer = listener.deadlines.set(state.last_used_at + LINGER_TIMEOUT_MS, transport.abort)
     try:
-        # With unsent data, asyncio would send the end of file from its own callback, where a reset after the last byte
-        # raises an exception that nothing handles. Without unsent data, drain() does not yield, so the end of file is
-        # sent in the same turn of the event loop in which nothing was found unread or unanswered.
-        await writer.drain()
         writer.write_eof()
         await asyncio.gather(reading, return_exceptions=True)  # the task releases the stream
         transport.resume_reading()  # type: ignore[attr-defined]
--- a/starlingthread/net/clients/connection.py
+++ b/starlingthread/net/clients/connection.py
@@ -53,6 +53,7 @@
             reading.cancel()
             if not self.state.disconnected and not self.writer.transport.is_closing():
                 if not self.state.evicted:
+                    await self._response_writer.flush()
                     await linger(self.listener, self.state, self.reader, self.writer, reading)
                 elif not self.writer.transport.get_write_buffer_size():
                     # The end of file is sent at once, as the transport closes its socket one turn of the event loop
--- a/starlingthread/net/clients/limits.py
+++ b/starlingthread/net/clients/limits.py
@@ -11,8 +11,9 @@
 # Received data that a lingering connection discards at most.
 MAX_LINGER_BYTES = 1 << 20
 
-# A connection is aborted if its client does not read its responses for this long.
+# A connection is aborted if its client takes none of the bytes of its responses for this long.
 WRITE_STALL_TIMEOUT_MS = 10000.0
+WRITE_STALL_CHECK_INTERVAL_MS = 2500.0
 # A chunked value must be complete within this time, which also bounds the wait for a server that reads none of it.
 VALUE_TIMEOUT_MS = 30000.0
 # A request is answered this long before its client's time-out would expire, counted from the request's arrival: the
--- a/starlingthread/net/clients/writer.py
+++ b/starlingthread/net/clients/writer.py
@@ -6,19 +6,21 @@
 
 from ...core.pipe import Pipe
 from .context import ConnectionState, ListenerContext
-from .limits import MAX_UNSENT_BYTES, WRITE_STALL_TIMEOUT_MS
+from .limits import MAX_UNSENT_BYTES
 from .responses import ResponseSlot
+from .write_stall import WriteStallTimer
 
 
 class ResponseWriter:
     """Writes one response at a time to a client's stream."""
 
-    __slots__ = ("_listener", "_state", "_streaming", "_writer")
+    __slots__ = ("_listener", "_stall_timer", "_state", "_streaming", "_writer")
 
     def __init__(self, listener: ListenerContext, state: ConnectionState, writer: asyncio.StreamWriter) -> None:
         self._listener = listener
         self._state = state
         self._writer = writer
+        self._stall_timer = WriteStallTimer(listener.clock, listener.deadlines, writer, self._abort_stalled)
         self._streaming: Pipe | None = None  # the chunked value being written
 
     async def write(self, slot: ResponseSlot, parts: tuple[bytes, ...]) -> None:
@@ -60,21 +62,25 @@
         """Write the next piece of a chunked value, and wait until the operating system has all of it."""
         self._writer.write(pipe.take())
         try:
-            if self._writer.transport.get_write_buffer_size():
-                await self._drain()
+            await self.flush()
         finally:
             pipe.release()
 
     def _exceeds_unsent_limit(self) -> bool:
         return self._writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES
 
+    async def flush(self) -> None:
+        """Wait until the operating system has all that was written; do not yield if it has."""
+        if self._writer.transport.get_write_buffer_size():
+            await self._drain()
+
     async def _drain(self) -> None:
-        """Wait for a slow client for a limited time, as it takes memory and a descriptor."""
-        timer = self._listener.deadlines.set(self._listener.clock.now() + WRITE_STALL_TIMEOUT_MS, self._abort_stalled)
+        """Wait for a slow client as long as it reads, as it takes memory and a descriptor."""
+        self._stall_timer.start()
         try:
             await self._writer.drain()
         finally:
-            self._listener.deadlines.clear(timer)
+            self._stall_timer.stop()
 
     def abandon_value(self) -> None:
         """Stop taking chunks of the value being written, as the client has disconnected."""
@@ -82,13 +88,13 @@
             self._streaming.abandon()
 
     def close(self) -> None:
-        """Close the stream; unsent data is still sent within a time limit."""
+        """Close the stream; unsent data is still sent as long as the client reads."""
         self._writer.close()
         if self._writer.transport.get_write_buffer_size():
-            self._listener.deadlines.set(self._listener.clock.now() + WRITE_STALL_TIMEOUT_MS, self._abort_stalled)
+            self._stall_timer.start()
 
     def _abort_stalled(self) -> None:
-        """Abort the connection of a client that reads too slowly, unless all of its responses are sent."""
+        """Abort the connection of a client that has stopped reading, unless all of its responses are sent."""
         if not self._writer.transport.is_closing() or self._writer.transport.get_write_buffer_size():
             self._listener.counters.increment("clients.write_stalled")
             self._writer.transport.abort()
--- a/starlingthread/net/streams.py
+++ b/starlingthread/net/streams.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import array
 import asyncio
 import contextlib
+import fcntl
 import select
 import socket
+import termios
 from collections.abc import Callable, Iterator
 from typing import Any
 
@@ -35,6 +38,18 @@
             transport.resume_reading()
 
 
+def unacknowledged_bytes(writer: asyncio.StreamWriter) -> int:
+    """Return how many written bytes the peer's system has not acknowledged.
+
+    Where the operating system does not tell, these are only the bytes that it has not taken.
+    """
+    unsent_bytes = writer.transport.get_write_buffer_size()
+    send_queue_bytes = array.array("i", [0])
+    with contextlib.suppress(OSError, ValueError):  # the socket is of another kind, or closed
+        fcntl.ioctl(writer.get_extra_info("socket").fileno(), termios.TIOCOUTQ, send_queue_bytes)
+    return unsent_bytes + send_queue_bytes[0]
+
+
 def drain_completely(writer: asyncio.StreamWriter) -> None:
     """Have drain() wait until all written bytes are passed to the operating system.
 
