Fail a large write once no more of its value arrives, not 30 s after its head

What callers saw: writes of 4 MiB at 100 and 130 KiB a second were answered as failed after their last byte, with router and cache server idle; at 200 they were served (probe on, one client each).

Cause: the deadline of a request with a streamed value was set once, 30 s after its head: one timer for the whole value, as in the writer to clients.

Change: each piece moves the request's deadline to 30 s later; the timers of the request and its attempt follow it while more of the value may arrive.

--- a/starlingthread/core/attempts.py
+++ b/starlingthread/core/attempts.py
@@ -88,6 +88,9 @@
         attempt.timeout_timer = self._deadlines.set(deadline, lambda: self._on_timeout(attempt))
 
     def _on_timeout(self, attempt: Attempt) -> None:
+        if attempt.request.is_receiving and attempt.request.deadline > attempt.deadline:
+            self._set_deadline(attempt, attempt.request.deadline)
+            return
         self.on_ended(AttemptEnded(attempt, AttemptResult.TIMEOUT), abandon=True)
 
     def on_ended(self, message: AttemptEnded, abandon: bool = False) -> None:
--- a/starlingthread/core/messages.py
+++ b/starlingthread/core/messages.py
@@ -57,7 +57,8 @@
     requester: Requester
     request_class: RequestClass
     key: int
-    deadline: float  # The client stops waiting at this time.
+    # The client stops waiting at this time. While a streamed value is received, each piece moves it into the future.
+    deadline: float
     payload: object  # The request in a form that depends on the protocol.
     received_at: float  # The time when the last byte was read; if the value is streamed, the last byte of the head.
     size: float = 0.0
@@ -73,6 +74,11 @@
     deadline_timer: Deadline | None = None
     body: Pipe | None = None  # The value if it is streamed; it can be sent only once.
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether more of a streamed value may arrive."""
+        return self.body is not None and self.body.complete is None and not self.body.abandoned
+
 
 @dataclass(slots=True, eq=False)
 class Attempt:
--- a/starlingthread/core/router.py
+++ b/starlingthread/core/router.py
@@ -246,6 +246,9 @@
         """Fail a request that the decision module has not answered in time."""
         if request.finished:
             return
+        if request.is_receiving and request.deadline > self.clock.now():
+            self._set_request_deadline(request)
+            return
         self.counters.increment("requests.overdue")
         log.warning(
             "request-overdue",
--- a/starlingthread/net/clients/limits.py
+++ b/starlingthread/net/clients/limits.py
@@ -14,7 +14,7 @@
 # A connection is aborted if its client takes none of the bytes of its responses for this long.
 WRITE_STALL_TIMEOUT_MS = 10000.0
 WRITE_STALL_CHECK_INTERVAL_MS = 2500.0
-# A chunked value must be complete within this time, which also bounds the wait for a server that reads none of it.
+# More of a chunked value must arrive within this time, which also bounds the wait for a server that reads none of it.
 VALUE_TIMEOUT_MS = 30000.0
 # A request is answered this long before its client's time-out would expire, counted from the request's arrival: the
 # time-out starts when the client sends the request, and the response needs time to travel back.
--- a/starlingthread/net/clients/requests.py
+++ b/starlingthread/net/clients/requests.py
@@ -154,6 +154,7 @@
             return
         pipe = self.incoming.pipe
         pipe.put(chunk.data)
+        self.incoming.request.deadline = self._listener.clock.now() + VALUE_TIMEOUT_MS - RESPONSE_MARGIN_MS
         if self.unsubmitted is not None and (pipe.buffered > meta.MAX_UNCHUNKED_BYTES or pipe.is_full() or chunk.last):
             # Submitting is delayed so that a client that sends only the command line ties up no server connection.
             self.unsubmitted = None
