Time a small value that is being received from its last bytes, not from its command's first

Cause: the 2.2 s for a partial command ran from its first byte, also while its value arrived; for larger values, which are streamed, each piece sets it again.

Change: any value that arrives sets it again; the head has 2.2 s as before, and so has a client that stops.

Test: test_a_command_is_not_timed_out_while_its_value_arrives failed before.

--- a/starlingthread/net/clients/limits.py
+++ b/starlingthread/net/clients/limits.py
@@ -23,7 +23,8 @@
 # connection.
 LINGER_TIMEOUT_MS = 500.0
 
-# A command must be complete within this time after its first byte.
+# The head of a command must be complete within this time after its first byte, and more of its value must arrive
+# within this time.
 COMMAND_TIMEOUT_MS = 2200.0
 # An idle connection is closed after this time even if there are free descriptors.
 IDLE_TIMEOUT_MS = 8000.0
--- a/starlingthread/net/clients/reader.py
+++ b/starlingthread/net/clients/reader.py
@@ -103,9 +103,10 @@
         return not self._responses.is_full()
 
     def _update_partial_since(self) -> None:
+        """Record since when a command is partial; a value that arrives slowly counts from its last bytes."""
         if not self._parser.has_partial_input():
             self._state.partial_since = None
-        elif self._state.partial_since is None or self._requests.incoming is not None:
+        elif self._state.partial_since is None or self._parser.is_receiving_value():
             self._state.partial_since = self._listener.clock.now()
 
     async def _wait_for_pipe(self, pipe: Pipe) -> None:
--- a/starlingthread/net/meta/commands.py
+++ b/starlingthread/net/meta/commands.py
@@ -139,6 +139,10 @@
             or self._buffer.unread_bytes() > 0
         )
 
+    def is_receiving_value(self) -> bool:
+        """Return whether the head of an ms has been received, and its value in part."""
+        return self._pending is not None or self._chunk_bytes_left > 0
+
     def feed(self, data: bytes) -> Iterator[ParsedInput]:
         """Parse received bytes and yield complete items; once framing is lost all further input is ignored."""
         if self._framing_lost:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -95,6 +95,21 @@
     run_client_script(script)
 
 
+def test_a_command_is_not_timed_out_while_its_value_arrives() -> None:
+    """Guards against an error for a client that sends a value steadily, but for longer than a command may take."""
+
+    async def script(harness: ClientHarness) -> None:
+        for piece in (b"ms a 9 O1 Pc=read,d=5\r\n", *(b"%d" % number for number in range(9))):
+            harness.reader.feed_data(piece)
+            await advance_time(harness, limits.COMMAND_TIMEOUT_MS - 1.0)
+            harness.actor.check_idle(harness.listener.clock.now(), False)
+        harness.reader.feed_data(b"\r\n")
+        (submitted,) = await harness.settle()
+        harness.actor.requests.answer(submitted.request, Failed())
+
+    assert run_client_script(script) == meta.FAILED_LINE
+
+
 def test_a_client_is_disconnected_only_once_it_has_stopped_reading() -> None:
     """Guards against cutting off a value under a client that reads it steadily, but slowly."""
 
