Read a value ahead only while its receiver takes more at once

Cause: a slow value held all that its window allowed, so 100 of them used up the budget and left quick ones small reads.

Change: after each piece the consumer looks whether the system would take more at once (POLLOUT, a third of its send buffer free). If not, the pipe holds one read of 16 KiB. Both directions.

--- a/starlingthread/core/pipe.py
+++ b/starlingthread/core/pipe.py
@@ -66,6 +66,12 @@
         self._on_settled: list[Callable[[], None]] = []
         self.complete: bool | None = None  # Whether the whole value was put; None until that is known.
         self.abandoned = False  # The consumer takes no further pieces.
+        # Whether the consumer can pass on more at once. If not, the pipe holds one small read, and leaves the budget
+        # to pipes with quick consumers.
+        self.may_read_ahead = True
+
+    def _window_bytes(self) -> int:
+        return self._budget.window_bytes() if self.may_read_ahead else MIN_READ_BYTES
 
     @property
     def held(self) -> int:
@@ -79,7 +85,7 @@
         self._reservation.set(0)
         if self.abandoned or self.complete is not None:
             return max_bytes
-        size = min(max_bytes, max(MIN_READ_BYTES, self._budget.window_bytes() - self.held))
+        size = min(max_bytes, max(MIN_READ_BYTES, self._window_bytes() - self.held))
         self._reservation.set(size)
         return size
 
@@ -108,7 +114,7 @@
         """Return whether the producer should wait before it continues to read."""
         if self.abandoned or self.complete is not None:
             return False
-        return self.held > 0 and self.held + MIN_READ_BYTES > self._budget.window_bytes()
+        return self.held > 0 and self.held + MIN_READ_BYTES > self._window_bytes()
 
     def is_producer_waiting(self) -> bool:
         """Return whether the producer waits, which lasts until its own consumer goes on."""
--- a/starlingthread/net/clients/writer.py
+++ b/starlingthread/net/clients/writer.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from ...core.pipe import Pipe
+from ..streams import takes_more
 from .context import ConnectionState, ListenerContext
 from .limits import MAX_UNSENT_BYTES
 from .responses import ResponseSlot
@@ -61,6 +62,7 @@
     async def _write_piece(self, pipe: Pipe) -> None:
         """Write the next piece of a chunked value, and wait until the operating system has all of it."""
         self._writer.write(pipe.take())
+        pipe.may_read_ahead = takes_more(self._writer)
         try:
             await self.flush()
         finally:
--- a/starlingthread/net/streams.py
+++ b/starlingthread/net/streams.py
@@ -38,6 +38,11 @@
             transport.resume_reading()
 
 
+def takes_more(writer: asyncio.StreamWriter) -> bool:
+    """Return whether the operating system would take more bytes at once, as much of its send buffer is free."""
+    return not writer.transport.get_write_buffer_size() and has_poll_event(writer, select.POLLOUT)
+
+
 def unacknowledged_bytes(writer: asyncio.StreamWriter) -> int:
     """Return how many written bytes the peer's system has not acknowledged.
 
--- a/starlingthread/net/upstreams/writer.py
+++ b/starlingthread/net/upstreams/writer.py
@@ -7,6 +7,7 @@
 from ...core.messages import Attempt
 from ...core.pipe import Pipe
 from .. import meta
+from ..streams import takes_more
 from .connection import Connection, Exchange, PendingHealthCheck
 from .context import UpstreamContext
 from .messages import ConnectionLost
@@ -66,6 +67,7 @@
             self._context.router.telemetry.backend_calls += 1
         connection.writer.write(piece)
         del piece  # while it is unsent, the transport has a copy
+        body.may_read_ahead = takes_more(connection.writer)
         try:
             await connection.writer.drain()
         finally:
--- a/tests/test_value_memory.py
+++ b/tests/test_value_memory.py
@@ -10,7 +10,8 @@
 
 import pytest
 
-from starlingthread.core.pipe import MIN_READ_BYTES, Pipe
+from starlingthread.core.pipe import MAX_WINDOW_BYTES, MIN_READ_BYTES, Pipe
+from starlingthread.net.meta import MAX_VALUE_BYTES
 from starlingthread.net.upstreams.connection import READ_BYTES
 
 from .peers import (
@@ -61,19 +62,20 @@
 Transfers = tuple[list[asyncio.Task[None]], list[Pipe]]  # what the peers send, and the pipes of the values
 
 
-async def begin_slow_reads(harness: RunningRouter) -> Transfers:
+async def begin_slow_reads(harness: RunningRouter, value_bytes: int = VALUE_BYTES) -> Transfers:
     """Have each client request a value that its server sends and that the client does not read."""
     (actor,) = harness.program.actors.fleet.actors.values()
     sending = []
     for number in range(VALUES):
         client = await harness.client(buffer=SMALL_BUFFER_BYTES)
-        shrink_send_buffer(harness.actor_of(client).writer.get_extra_info("socket"))
+        if value_bytes == VALUE_BYTES:
+            shrink_send_buffer(harness.actor_of(client).writer.get_extra_info("socket"))
         await client.send(read_command(number))
         server = await harness.server.accept()
         await server.until(b"\r\n")
         shrink_send_buffer(server.socket)
-        head = b"VA %d O%d h1\r\n" % (VALUE_BYTES, number)
-        sending.append(asyncio.create_task(server.send(head + b"v" * VALUE_BYTES + b"\r\n")))
+        head = b"VA %d O%d h1\r\n" % (value_bytes, number)
+        sending.append(asyncio.create_task(server.send(head + b"v" * value_bytes + b"\r\n")))
         await until(lambda: len(actor.pool.streaming) == len(sending))
     return sending, [connection.response_pipe for connection in actor.pool.streaming if connection.response_pipe]
 
@@ -123,6 +125,24 @@
     check_held_bytes(tmp_path, begin_slow_writes)
 
 
+def test_slow_readers_leave_the_budget_to_quick_ones(tmp_path: Path) -> None:
+    """Guards against quick clients that are served in small reads, as slow ones hold all that the budget allows."""
+
+    async def scenario() -> None:
+        async with running_router(tmp_path) as harness:
+            harness.program.actors.clients.budget.limit = 64 * LIMIT_BYTES
+            # The system takes much of a large value before it has to wait for its client.
+            sending, pipes = await begin_slow_reads(harness, MAX_VALUE_BYTES)
+            await wait_until_blocked(sending, pipes)
+            assert VALUES < held_bytes(harness) <= VALUES * MIN_READ_BYTES
+            assert harness.program.actors.clients.budget.window_bytes() == MAX_WINDOW_BYTES
+            for task in sending:
+                task.cancel()
+            await asyncio.gather(*sending, return_exceptions=True)
+
+    asyncio.run(scenario())
+
+
 def test_a_client_that_reads_on_gets_a_value_that_waited_for_it(tmp_path: Path) -> None:
     """Guards against a pipe that is never read again once the shared budget was used up."""
 
