Count the time after a streamed value from its end, so that a stray busy proves nothing

Cause: a busy within 50 ms after the previous answer may be a stray line behind it and proves nothing, but for a streamed value the time ran from its head. Between head and end there were 240 ms, so the guard had ended when the next write went out, and the second answer to the value was taken as proof that the write never ran. The guard also held for writes only, whatever the class of a read says.

Change: the end of a streamed value sets the time; the guard holds for each request that must not run twice.

Tests: two in tests/test_upstreams.py failed before (FULL where RESET is due).

--- a/starlingthread/net/upstreams/actor.py
+++ b/starlingthread/net/upstreams/actor.py
@@ -79,8 +79,7 @@
             case AnswerReceived():
                 self._on_answer(message.connection, message.answer, message.pipe)
             case ValueReceived():
-                if not message.connection.closed:
-                    self.pool.release(message.connection)
+                self._on_value_received(message.connection)
             case ConnectCompleted():
                 self._on_connect_completed(message.exchange, message.connection)
             case AbandonExchange():
@@ -198,6 +197,13 @@
         else:
             self.pool.mark_streaming(connection)  # ValueReceived ends this state
 
+    def _on_value_received(self, connection: Connection) -> None:
+        if connection.closed:
+            return
+        # The answer ends here and not with its head: stray lines that follow it closely still belong to it.
+        connection.answered_at = self._context.clock.now()
+        self.pool.release(connection)
+
     def _record_bad_answer(self, connection: Connection, answer: meta.ServerAnswer) -> None:
         counters = self._context.counters
         counters.increment("servers.bad_answers")
--- a/starlingthread/net/upstreams/results.py
+++ b/starlingthread/net/upstreams/results.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from ...core.messages import Attempt, AttemptEnded
+from ...core.messages import Attempt, AttemptEnded, PendingRequest
 from ...core.pipe import Pipe
 from ...events import AttemptResult, CacheStatus, HealthCheckResult
+from ...settings import Idempotency
 from .. import meta
 from .connection import Connection, Exchange, PendingHealthCheck
 from .context import UpstreamContext
@@ -23,12 +24,17 @@
         return AttemptResult.OK if _answers_request(attempt, answer) else AttemptResult.RESET
     if kind == meta.AnswerKind.BUSY:
         # FULL lets the router send a request again. Soon after the previous answer a 'busy' may be a stray line that
-        # proves nothing about the write, and a write must not be executed twice.
-        may_be_stray = attempt.request.is_write and connection.busy_may_be_stray
+        # proves nothing about the request, and some must not be executed twice.
+        may_be_stray = _must_run_once(attempt.request) and connection.busy_may_be_stray
         return AttemptResult.RESET if may_be_stray else AttemptResult.FULL
     return AttemptResult.ERROR if kind == meta.AnswerKind.FAILED else AttemptResult.RESET
 
 
+def _must_run_once(request: PendingRequest) -> bool:
+    """Whether a request must not be executed twice: a write, or a read of a class that says so."""
+    return request.is_write or request.request_class.idempotency != Idempotency.IDEMPOTENT
+
+
 def _answers_request(attempt: Attempt, answer: meta.ServerAnswer) -> bool:
     """Whether a value or receipt carries the request's id and is of the kind that the request expects."""
     command = attempt.request.payload
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -13,6 +13,7 @@
 from starlingthread.net.upstreams.opener import PendingConnect
 
 from .balancer_driver import THROUGH
+from .chunked_values import ANSWER_HEAD, VALUE
 from .fakes import ANSWER, ServerActorHarness
 
 
@@ -71,6 +72,31 @@
         assert [m.result for m in harness.receive(b"SERVER_ERROR busy\r\n")] == [result]
 
 
+def test_busy_right_after_an_answer_does_not_prove_that_a_read_that_must_run_once_never_ran() -> None:
+    """Guards against running a read twice whose class is not idempotent."""
+    for class_index, result in ((0, AttemptResult.FULL), (2, AttemptResult.RESET)):
+        harness = ServerActorHarness()
+        harness.deliver(messages.StartExchange(harness.attempt()))
+        harness.receive(ANSWER)
+        attempt = harness.attempt()
+        attempt.request.request_class = THROUGH.classes[class_index]
+        harness.deliver(messages.StartExchange(attempt))
+        assert [m.result for m in harness.receive(b"SERVER_ERROR busy\r\n")] == [result]
+
+
+def test_busy_right_after_a_streamed_value_does_not_prove_that_a_write_never_ran() -> None:
+    """Guards against running a write twice: the time was counted from the value's head, which may be much earlier."""
+    for pause, result in ((49.0, AttemptResult.RESET), (50.0, AttemptResult.FULL)):
+        harness = ServerActorHarness()
+        harness.deliver(messages.StartExchange(harness.attempt()))
+        harness.receive(ANSWER_HEAD + VALUE[:100])
+        harness.router_harness.clock.time += 240.0
+        harness.receive(VALUE[100:] + b"\r\n")
+        harness.router_harness.clock.time += pause
+        harness.deliver(messages.StartExchange(harness.attempt(b"ms a 1 O1 Pc=put,d=500\r\nx\r\n")))
+        assert [m.result for m in harness.receive(b"SERVER_ERROR busy\r\n")] == [result]
+
+
 def test_a_partial_answer_ends_its_attempt_on_the_second_read_timeout() -> None:
     harness = ServerActorHarness()
     attempt = harness.attempt()
