Remember each attempt of a keyed write that may have run, not only the first

Cause: the gate remembered one attempt that may have run. When the first copy, which had waited at a hanging cache server, was answered busy, that proof cleared what was known of the second copy, which had run and been reset, and the write was sent again.

Change: RequestState.possible_executions holds all such attempts; the proof removes its own. The window counts from the first that is left. Requests that may be repeated are not recorded any more, as nothing asks for them.

Test: one in tests/test_retries.py failed before (a write sent with a window that had ended).

--- a/starlingthread/policy/attempt_gate.py
+++ b/starlingthread/policy/attempt_gate.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-
 from ..actions import Send
 from ..balance.rendezvous import is_key_in_share
 from ..events import NEVER_EXECUTED, AttemptResult, Outcome
@@ -39,10 +38,11 @@
         if state.attempts_in_flight and not self._allows_concurrent_attempts(state):  # rule 2
             return False
         write_deadline = math.inf
-        if state.possible_execution and state.request_class.idempotency != Idempotency.IDEMPOTENT:
-            if not self._is_deduplicated(now, state, server, state.possible_execution):  # rule 2
+        if state.possible_executions and state.request_class.idempotency != Idempotency.IDEMPOTENT:
+            first = state.possible_executions[0]
+            if not self._is_deduplicated(now, state, server, first):  # rule 2
                 return False
-            write_deadline = state.possible_execution.sent_at + state.request_class.idempotency_window
+            write_deadline = first.sent_at + state.request_class.idempotency_window
         if server is not self.fleet.origin and not self.allows_slow_start(now, server, state):  # rule 4
             return False
         self._record(now, state, server)
@@ -83,8 +83,8 @@
         if self.fleet.zones:
             self.fleet.zones.on_sent(now, server.endpoint.zone, number)
         server.slow_start.spend(load.relative_cost(state))
-        if state.possible_execution is None and state.request_class.idempotency == Idempotency.IDEMPOTENCY_KEY:
-            state.possible_execution = PossibleExecution(number, now, len(state.attempts) - 1)
+        if state.request_class.idempotency == Idempotency.IDEMPOTENCY_KEY:
+            state.possible_executions.append(PossibleExecution(number, now, len(state.attempts) - 1))
 
     def on_outcome(self, state: RequestState, event: Outcome) -> AttemptRecord | None:
         """Remove an ended attempt from the record and return it, or return None if it was not in flight."""
@@ -98,18 +98,18 @@
         server = self.fleet.servers[attempt.server]
         server.cost_in_flight = max(0.0, server.cost_in_flight - attempt.expected_time)
         server.attempts_in_flight = max(0, server.attempts_in_flight - 1)
-        self._update_possible_execution(state, event, attempt)
+        self._update_possible_executions(state, event, attempt)
         return attempt
 
-    def _update_possible_execution(self, state: RequestState, event: Outcome, attempt: AttemptRecord) -> None:
-        execution = state.possible_execution
+    def _update_possible_executions(self, state: RequestState, event: Outcome, attempt: AttemptRecord) -> None:
+        """Forget the ended attempt if it was never executed; what is known of other attempts stays as it is."""
+        if state.request_class.idempotency == Idempotency.IDEMPOTENT:
+            return
+        executions = [execution for execution in state.possible_executions if execution.attempt != event.attempt]
         if event.result not in NEVER_EXECUTED:
-            if execution is None:
-                state.possible_execution = PossibleExecution(attempt.server, attempt.sent_at, event.attempt)
-        # Compared by its number, as another attempt may have been sent to the same server at the same time and have
-        # been executed.
-        elif execution is not None and execution.attempt == event.attempt:
-            state.possible_execution = None
+            executions.append(PossibleExecution(attempt.server, attempt.sent_at, event.attempt))
+            executions.sort(key=lambda execution: execution.attempt)
+        state.possible_executions = executions
 
     def on_failure(self, now: float, server: Server, result: AttemptResult, sent_at: float) -> None:
         """Record a failure of a cache server, which may eject it as an outlier."""
--- a/starlingthread/policy/completion.py
+++ b/starlingthread/policy/completion.py
@@ -33,15 +33,14 @@
 
     def _is_safe_to_retry(self, now: float, state: RequestState) -> bool:
         request_class = state.request_class
-        execution = state.possible_execution
         if request_class.idempotency == Idempotency.IDEMPOTENT:
             return True
-        if execution is None:
+        if not state.possible_executions:
             return state.attempts_in_flight == 0
         return (
             request_class.idempotency == Idempotency.IDEMPOTENCY_KEY
             and request_class.deduplication_scope == "all"
-            and now - execution.sent_at < request_class.idempotency_window
+            and now - state.possible_executions[0].sent_at < request_class.idempotency_window
         )
 
     def _retry_after(self, state: RequestState) -> float:
--- a/starlingthread/state/records.py
+++ b/starlingthread/state/records.py
@@ -47,7 +47,7 @@
 
 
 class PossibleExecution(NamedTuple):
-    """The first attempt of a request that a server may have executed."""
+    """An attempt of a request that a server may have executed."""
 
     server: int
     sent_at: float
@@ -176,7 +176,7 @@
         "missed_servers",
         "origin_waits",
         "owner_group",
-        "possible_execution",
+        "possible_executions",
         "request",
         "request_class",
         "resume_at",
@@ -193,7 +193,7 @@
         self.streaming = False  # whether a part of the answer has been sent to the client
         self.attempts: list[AttemptRecord | None] = []  # attempts by attempt number; None: the attempt has ended
         self.attempts_in_flight = 0
-        self.possible_execution: PossibleExecution | None = None
+        self.possible_executions: list[PossibleExecution] = []  # in the order in which the attempts were sent
         self.missed_servers: list[int] = []  # servers that answered with a miss
         self.failed_servers: list[int] = []  # servers that get no further attempt
         self.last_failed_server = -1  # server of the last failed attempt, which may get one more attempt
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -146,6 +146,21 @@
     assert [type(a) for a in answers(done)] == [Fail]
 
 
+def test_an_unexecuted_attempt_does_not_clear_a_later_one_that_may_have_been_executed() -> None:
+    """Guards against applying a write again after its window, once its first attempt turns out never to have run."""
+    for pause, may_retry in ((0.9, True), (1.1, False)):
+        driver = BalancerDriver(HEDGED)
+        warm_up_key(driver)
+        first = only_send(driver.submit_request(7, IDEMPOTENCY_KEY, budget=4000.0))
+        second = only_send(driver.advance_time(326.0))
+        sent_at = driver.now
+        driver.end_attempt(second, AttemptResult.RESET, attempt=1)
+        driver.now = sent_at + pause * THROUGH.classes[IDEMPOTENCY_KEY].idempotency_window
+        done = driver.end_attempt(first, AttemptResult.FULL)
+        assert [type(a) for a in answers(done)] == ([] if may_retry else [Fail])
+        assert [send.write_deadline - sent_at < 1501.0 for send in sends(done)] == [True] * may_retry
+
+
 def test_a_failed_fetch_is_not_retried() -> None:
     """A retry would add to the origin's overload, and a count would point to a server that stored no value."""
     driver = BalancerDriver(THROUGH)
