--- a/starlingthread/policy/attempt_gate.py
+++ b/starlingthread/policy/attempt_gate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+
 from ..actions import Send
 from ..balance.rendezvous import is_key_in_share
 from ..events import NEVER_EXECUTED, AttemptResult, Outcome
