Keep the state of a chunked value in one class that both parsers use

Cause: the parsers of commands and of answers each counted the missing bytes of a chunked value, checked its CRLF and had the same way around the buffer. Change: ChunkedValue and ValueChunk in net/meta/chunked_value.py; LineBuffer only buffers.

--- a/starlingthread/net/meta/__init__.py
+++ b/starlingthread/net/meta/__init__.py
@@ -5,7 +5,8 @@
 """
 
 from .answers import AnswerKind, AnswerParser, ServerAnswer
-from .buffer import MAX_HEAD_BYTES, MAX_UNCHUNKED_BYTES, MAX_VALUE_BYTES, ValueChunk
+from .buffer import MAX_HEAD_BYTES, MAX_UNCHUNKED_BYTES, MAX_VALUE_BYTES
+from .chunked_value import ValueChunk
 from .commands import (
     NUMBER_PATTERN,
     Command,
--- a/starlingthread/net/meta/answers.py
+++ b/starlingthread/net/meta/answers.py
@@ -7,7 +7,8 @@
 from enum import Enum
 from typing import NamedTuple
 
-from .buffer import MAX_HEAD_BYTES, MAX_UNCHUNKED_BYTES, MAX_VALUE_BYTES, LineBuffer, ValueChunk, is_inside_value
+from .buffer import MAX_HEAD_BYTES, MAX_UNCHUNKED_BYTES, MAX_VALUE_BYTES, LineBuffer
+from .chunked_value import ChunkedValue, ValueChunk
 from .responses import CRLF
 
 # A load value has at most six digits before the decimal point: no server has a million requests in flight.
@@ -144,12 +145,12 @@
         self._pending: ServerAnswer | None = None  # the answer whose value is incomplete
         self._value_parts: list[bytes] = []  # parts of that value as received; large values are never joined
         self._value_bytes_left = 0  # bytes missing of that value, with its CRLF
-        self._chunk_bytes_left = 0  # bytes missing of a chunked value, with its CRLF
+        self._chunked_value = ChunkedValue()
         self._failed = False
 
     def has_partial_input(self) -> bool:
         """Return whether there is input beyond the complete answers: a partial answer or stray bytes."""
-        return self._pending is not None or self._chunk_bytes_left > 0 or self._buffer.unread_bytes() > 0
+        return self._pending is not None or self._chunked_value.is_receiving or self._buffer.unread_bytes() > 0
 
     def feed(self, data: bytes) -> Iterator[ServerAnswer | ValueChunk]:
         """Parse received bytes and yield complete items; after one of the kind OTHER all further input is ignored.
@@ -158,9 +159,8 @@
         """
         if self._failed:
             return
-        if not self._buffer.unread_bytes() and is_inside_value(data, self._chunk_bytes_left):
-            self._chunk_bytes_left -= len(data)
-            yield ValueChunk(data, False)
+        if (chunk := self._chunked_value.take_whole(data, self._buffer)) is not None:
+            yield chunk
             return
         self._buffer.append(data)
         while not self._failed and (answer := self._next()) is not None:
@@ -168,7 +168,7 @@
             yield answer
 
     def _next(self) -> ServerAnswer | ValueChunk | None:
-        if self._chunk_bytes_left:
+        if self._chunked_value.is_receiving:
             return self._next_chunk()
         if self._pending is None:
             answer = self._next_line()
@@ -177,11 +177,8 @@
         return self._complete_pending(self._pending)
 
     def _next_chunk(self) -> ServerAnswer | ValueChunk | None:
-        chunk = self._buffer.read_chunk(self._chunk_bytes_left)
-        if chunk is None:
-            return None
-        self._chunk_bytes_left -= len(chunk.data)
-        return chunk if not chunk.last or chunk.data.endswith(CRLF) else _malformed(b"bad data chunk")
+        chunk = self._chunked_value.read_from(self._buffer)
+        return _malformed(b"bad data chunk") if chunk is not None and chunk.is_malformed else chunk
 
     def _next_line(self) -> ServerAnswer | None:
         """Parse the next line; return None if it is incomplete, or if the value after it must arrive first."""
@@ -194,7 +191,7 @@
         if answer.kind != AnswerKind.VALUE:
             return answer
         if answer.is_chunked:
-            self._chunk_bytes_left = answer.length + 2
+            self._chunked_value.begin(answer.length)
             return answer
         self._pending = answer
         self._value_bytes_left = answer.length + 2
--- a/starlingthread/net/meta/buffer.py
+++ b/starlingthread/net/meta/buffer.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
-
 from .responses import CRLF
 
 MAX_VALUE_BYTES = 4 << 20  # maximum size of a value, in either direction
@@ -11,21 +9,6 @@
 MAX_HEAD_BYTES = 2048  # maximum size of a line
 
 
-class ValueChunk(NamedTuple):
-    """A chunk of a value over MAX_UNCHUNKED_BYTES; the last one ends with the value's CRLF."""
-
-    data: bytes
-    last: bool
-
-
-def is_inside_value(data: bytes, remaining: int) -> bool:
-    """Return whether all received bytes belong to a value of which 'remaining' bytes, with its CRLF, are missing.
-
-    None of them is part of the CRLF, so they can be passed on as they are.
-    """
-    return len(data) <= remaining - 2
-
-
 class LineBuffer:
     """An input buffer that is read in lines and blocks; no byte is scanned twice for a line end."""
 
@@ -75,15 +58,3 @@
     def read_available(self, limit: int) -> bytes:
         """Read the available bytes, at most limit of them."""
         return self.read_block(min(limit, self.unread_bytes())) or b""
-
-    def read_chunk(self, remaining: int) -> ValueChunk | None:
-        """Read the available bytes of a value as a chunk; return None if there are none.
-
-        remaining: bytes of the value that have not been read, including its CRLF. The two bytes of the CRLF are never
-        split over two chunks. The last chunk does not end with CRLF if the value is malformed.
-        """
-        available = min(remaining, self.unread_bytes())
-        if available == remaining:
-            return ValueChunk(self.read_block(remaining) or b"", True)
-        data = self.read_block(max(0, min(available, remaining - 2))) or b""
-        return ValueChunk(data, False) if data else None
--- a/starlingthread/net/meta/commands.py
+++ b/starlingthread/net/meta/commands.py
@@ -7,7 +7,8 @@
 from enum import Enum
 from typing import NamedTuple, TypeAlias
 
-from .buffer import MAX_HEAD_BYTES, MAX_UNCHUNKED_BYTES, MAX_VALUE_BYTES, LineBuffer, ValueChunk, is_inside_value
+from .buffer import MAX_HEAD_BYTES, MAX_UNCHUNKED_BYTES, MAX_VALUE_BYTES, LineBuffer
+from .chunked_value import ChunkedValue, ValueChunk
 from .responses import CRLF, ERROR_LINE
 
 NUMBER_PATTERN = re.compile(r"\d{1,15}(?:\.\d{1,9})?")  # pattern of a number in the fields of a command
@@ -126,7 +127,7 @@
     def __init__(self) -> None:
         self._buffer = LineBuffer()
         self._pending: Command | None = None  # the ms whose value is incomplete
-        self._chunk_bytes_left = 0  # bytes missing of a chunked value, with its CRLF
+        self._chunked_value = ChunkedValue()
         self._skip_bytes_left = 0  # bytes to skip of the value of a malformed ms, with its CRLF
         self._framing_lost = False
 
@@ -135,21 +136,20 @@
         return (
             self._pending is not None
             or self._skip_bytes_left > 0
-            or self._chunk_bytes_left > 0
+            or self._chunked_value.is_receiving
             or self._buffer.unread_bytes() > 0
         )
 
     def is_receiving_value(self) -> bool:
         """Return whether the head of an ms has been received, and its value in part."""
-        return self._pending is not None or self._chunk_bytes_left > 0
+        return self._pending is not None or self._chunked_value.is_receiving
 
     def feed(self, data: bytes) -> Iterator[ParsedInput]:
         """Parse received bytes and yield complete items; once framing is lost all further input is ignored."""
         if self._framing_lost:
             return
-        if not self._buffer.unread_bytes() and is_inside_value(data, self._chunk_bytes_left):
-            self._chunk_bytes_left -= len(data)
-            yield ValueChunk(data, False)
+        if (chunk := self._chunked_value.take_whole(data, self._buffer)) is not None:
+            yield chunk
             return
         self._buffer.append(data)
         while (item := self._next()) is not None:
@@ -164,7 +164,7 @@
             error = self._skip_value()
             if error is not None or self._skip_bytes_left:
                 return error
-        if self._chunk_bytes_left:
+        if self._chunked_value.is_receiving:
             return self._next_chunk()
         if self._pending is None:
             item = self._next_line()
@@ -181,11 +181,8 @@
         return None if end == CRLF else client_error("bad data chunk", True)
 
     def _next_chunk(self) -> ValueChunk | MalformedCommand | None:
-        chunk = self._buffer.read_chunk(self._chunk_bytes_left)
-        if chunk is None:
-            return None
-        self._chunk_bytes_left -= len(chunk.data)
-        return chunk if not chunk.last or chunk.data.endswith(CRLF) else client_error("bad data chunk", True)
+        chunk = self._chunked_value.read_from(self._buffer)
+        return client_error("bad data chunk", True) if chunk is not None and chunk.is_malformed else chunk
 
     def _next_line(self) -> Command | ControlCommand | MalformedCommand | None:
         """Parse the next line; return None if it is incomplete, or if the value after it must arrive first."""
@@ -219,7 +216,7 @@
             return command
         command = command._replace(length=length)
         if command.is_chunked:
-            self._chunk_bytes_left = length + 2
+            self._chunked_value.begin(length)
             return command
         self._pending = command
         return None
