Limit the reads of a new connection to a cache server also before its first request

Cause: since reads are limited as requests are written, a connection that was opened and not used had asyncio's 256 KB until then. By reading; nothing was seen. Change: the opener sets the limit again, as it did before.

--- a/starlingthread/net/upstreams/opener.py
+++ b/starlingthread/net/upstreams/opener.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from ...core.deadlines import Deadline
-from ..streams import drain_completely, open_stream
+from ..streams import drain_completely, limit_read_size, open_stream
 from .connection import READ_BYTES, Connection, Exchange
 from .context import UpstreamContext
 from .messages import ConnectCompleted, ConnectTimedOut
@@ -81,6 +81,7 @@
         address = self._pool.address
         try:
             reader, writer = await open_stream(*address, READ_BYTES)
+            limit_read_size(writer, READ_BYTES)
             drain_completely(writer)
         except OSError:
             self.post(ConnectCompleted(exchange, None))
