--- a/tests/test_value_memory.py
+++ b/tests/test_value_memory.py
@@ -11,7 +11,6 @@
 import pytest
 
 from starlingthread.core.pipe import MAX_WINDOW_BYTES, MIN_READ_BYTES, Pipe
-from starlingthread.net.meta import MAX_VALUE_BYTES
 from starlingthread.net.upstreams.connection import READ_BYTES
 
 from .peers import (
@@ -29,6 +28,7 @@
 VALUE_BYTES = 1 << 20
 LIMIT_BYTES = 1 << 18
 SMALL_BUFFER_BYTES = 4096
+LARGE_BUFFER_BYTES = 1 << 18
 
 
 def held_bytes(harness: RunningRouter) -> int:
@@ -47,9 +47,9 @@
     return len(reader._buffer) + writer.transport.get_write_buffer_size() + len(parser._buffer._buffer)
 
 
-def shrink_send_buffer(sock: socket.socket) -> None:
+def shrink_send_buffer(sock: socket.socket, size: int = SMALL_BUFFER_BYTES) -> None:
     """Have the system take few bytes of what is sent, so that the rest has to wait in the sending process."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
 
 
 async def wait_until_blocked(sending: list[asyncio.Task[None]], pipes: list[Pipe]) -> None:
@@ -62,20 +62,19 @@
 Transfers = tuple[list[asyncio.Task[None]], list[Pipe]]  # what the peers send, and the pipes of the values
 
 
-async def begin_slow_reads(harness: RunningRouter, value_bytes: int = VALUE_BYTES) -> Transfers:
+async def begin_slow_reads(harness: RunningRouter, send_buffer_bytes: int = SMALL_BUFFER_BYTES) -> Transfers:
     """Have each client request a value that its server sends and that the client does not read."""
     (actor,) = harness.program.actors.fleet.actors.values()
     sending = []
     for number in range(VALUES):
         client = await harness.client(buffer=SMALL_BUFFER_BYTES)
-        if value_bytes == VALUE_BYTES:
-            shrink_send_buffer(harness.actor_of(client).writer.get_extra_info("socket"))
+        shrink_send_buffer(harness.actor_of(client).writer.get_extra_info("socket"), send_buffer_bytes)
         await client.send(read_command(number))
         server = await harness.server.accept()
         await server.until(b"\r\n")
         shrink_send_buffer(server.socket)
-        head = b"VA %d O%d h1\r\n" % (value_bytes, number)
-        sending.append(asyncio.create_task(server.send(head + b"v" * value_bytes + b"\r\n")))
+        head = b"VA %d O%d h1\r\n" % (VALUE_BYTES, number)
+        sending.append(asyncio.create_task(server.send(head + b"v" * VALUE_BYTES + b"\r\n")))
         await until(lambda: len(actor.pool.streaming) == len(sending))
     return sending, [connection.response_pipe for connection in actor.pool.streaming if connection.response_pipe]
 
@@ -131,8 +130,8 @@
     async def scenario() -> None:
         async with running_router(tmp_path) as harness:
             harness.program.actors.clients.budget.limit = 64 * LIMIT_BYTES
-            # The system takes much of a large value before it has to wait for its client.
-            sending, pipes = await begin_slow_reads(harness, MAX_VALUE_BYTES)
+            # The system takes a part of each value before it has to wait for its client, and never all of it.
+            sending, pipes = await begin_slow_reads(harness, LARGE_BUFFER_BYTES)
             await wait_until_blocked(sending, pipes)
             assert VALUES < held_bytes(harness) <= VALUES * MIN_READ_BYTES
             assert harness.program.actors.clients.budget.window_bytes() == MAX_WINDOW_BYTES
