See a client's end behind what it has sent, and start no attempt while it can't be seen

Cause: with 16 responses pending the client's socket was not read. The end of file follows the unread bytes, and once the receive window is shut it stays at the client's system, so the poll for POLLRDHUP never reports it. After invalid input nobody read the socket either, nor polled it.

Change: while no response slot is free, the bytes go to the parser as they arrive, up to a share of the memory for buffered values (1/8 of what is free of half of it, at most 4 MiB a connection), and count in it. Where that is used up, reading is paused, the window is looked at (FIONREAD against SO_RCVBUF), and no attempt starts or is written for a client that may have been gone for over 60 ms: the request is rejected or fails. After invalid input the rest is read and discarded. Writes to a closed transport end at once (the warnings "socket.send() raised exception").

Class: a peer's end was looked for only where the socket was read.

--- a/starlingthread/core/attempts.py
+++ b/starlingthread/core/attempts.py
@@ -58,6 +58,10 @@
         if request.finished or request.cancelled or request.attempts_started > max_attempts:
             self._mailbox.force_put(AttemptEnded(attempt, AttemptResult.NOT_SENT))
             return
+        if not request.requester.may_start_attempt():
+            self._counters.increment("attempts.requester_unseen")
+            self._mailbox.force_put(AttemptEnded(attempt, AttemptResult.NOT_SENT))
+            return
         self._counters.increment("attempts.started")
         self._set_deadline(attempt, attempt.deadline)
         self.fleet.start(attempt)
--- a/starlingthread/core/messages.py
+++ b/starlingthread/core/messages.py
@@ -49,6 +49,9 @@
     def answer(self, request: PendingRequest, answer: Answer) -> None:
         """Receive the final answer of a request; called at most once for each."""
 
+    def may_start_attempt(self) -> bool:
+        """Return whether the requester is known to wait still; if not, no attempt may start for its requests."""
+
 
 @dataclass(slots=True, eq=False)
 class PendingRequest:
--- a/starlingthread/net/clients/connection.py
+++ b/starlingthread/net/clients/connection.py
@@ -36,7 +36,8 @@
         self._command_reader = ClientReader(
             listener, self.state, self.requests, self.responses, reader, writer, self.on_disconnect
         )
-        self.early_rejector = EarlyRejector(
+        self.requests.is_end_visible = self._command_reader.ahead.is_end_visible
+        self._early_rejector = EarlyRejector(
             listener, self.state, self.responses, self._command_reader, writer.transport
         )
         self._response_writer = ResponseWriter(listener, self.state, writer)
@@ -74,6 +75,8 @@
             if responses.slots:
                 self._cancel_idle_close()
             while responses.slots and (ready := responses.slots[0].parts) is not None:
+                if self.writer.transport.is_closing():
+                    return
                 await self._response_writer.write(responses.slots[0], ready)
                 if responses.remove_first().closes_connection:
                     return
@@ -99,12 +102,17 @@
             self.state.evicted = False
             self._on_eviction_cancelled(self)
 
+    def consume(self, data: bytes) -> bool:
+        """Handle data just received; return False if the stream's reader must get them."""
+        return self._command_reader.ahead.take(data) or self._early_rejector.consume(data)
+
     def on_disconnect(self) -> None:
         """Cancel all requests at once, as the client has closed, whatever the reader and writer are waiting for."""
         if self.state.disconnected:
             return
         self.state.disconnected = True
         self.requests.cancel_all()
+        self._command_reader.ahead.close()
         self._response_writer.abandon_value()
         self.responses.has_free_slot.set()
         self.responses.mailbox.wake()
@@ -169,5 +177,6 @@
     def close(self) -> None:
         """Release the connection and cancel its requests in flight; no other code releases it."""
         self.requests.close()
+        self._command_reader.ahead.close()
         self._on_closed(self)
         self._response_writer.close()
--- a/starlingthread/net/clients/context.py
+++ b/starlingthread/net/clients/context.py
@@ -30,7 +30,8 @@
     counters: Counters
     deadlines: Deadlines
     budget: ByteBudget  # budget shared by all chunked values in both directions
-    buffered_bytes: int  # size of the values that all response slots hold
+    buffered_bytes: int  # size of all requests, responses and unprocessed input
+    read_ahead_bytes: int  # size of the input of connections that wait for a response slot
     max_buffered_bytes: int
     classes: dict[str, RequestClass]  # request classes by name
     open_ids: set[bytes]  # ids of unanswered requests on all connections
--- a/starlingthread/net/clients/limits.py
+++ b/starlingthread/net/clients/limits.py
@@ -2,8 +2,13 @@
 
 # Size of one read from a client's socket; a connection's stream reader may hold twice as much unread data.
 READ_BYTES = 16384
-# Commands of one connection that may await their response; reading pauses while there are as many.
+# Commands of one connection that may await their response; further ones are read, but not processed.
 MAX_PIPELINED_COMMANDS = 16
+# Share of the memory for buffered values that unprocessed commands of all connections may take.
+READ_AHEAD_SHARE = 0.5
+# Share of what is free of it that one connection may take, and its limit in bytes.
+FREE_READ_AHEAD_SHARE = 1 / 8
+MAX_READ_AHEAD_BYTES = 4 << 20
 # A connection is closed after this many malformed commands.
 MAX_MALFORMED_COMMANDS = 8
 # The writer waits for a slow client while more than this is in the connection's write buffer.
@@ -37,3 +42,6 @@
 STALLED_COMMAND_MS = 500.0
 # Interval of the polls for disconnects of paused connections; a disconnect must be detected within 100 ms.
 DISCONNECT_CHECK_INTERVAL_MS = 40.0
+# No attempt starts for a client whose end of file could have stayed unseen for longer: 100 ms after its close, less the
+# time until an attempt is written.
+MAX_UNSEEN_MS = 60.0
--- a/starlingthread/net/clients/listener.py
+++ b/starlingthread/net/clients/listener.py
@@ -58,7 +58,8 @@
         self.counters = router.counters
         self.deadlines = router.deadlines
         self.budget = ByteBudget(0)  # budget shared by all chunked values in both directions
-        self.buffered_bytes = 0  # size of the values that all response slots hold
+        self.buffered_bytes = 0  # size of all requests, responses and unprocessed input
+        self.read_ahead_bytes = 0  # size of the input of connections that wait for a response slot
         self.max_buffered_bytes = max_buffered_bytes
         self.max_clients = max_clients
         self.idle_client_threshold = idle_client_threshold
@@ -134,7 +135,7 @@
         protocol = writer.transport.get_protocol()
         if isinstance(protocol, DisconnectAwareProtocol):
             protocol.on_disconnect = actor.on_disconnect
-            protocol.consume = actor.early_rejector.consume
+            protocol.consume = actor.consume
         self.supervisor.start(actor.run(), "client", lambda _: actor.close())
 
     def unsent_bytes(self) -> int:
--- a/starlingthread/net/clients/reader.py
+++ b/starlingthread/net/clients/reader.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from ...core.pipe import Pipe
 from .. import meta
 from ..streams import PEER_CLOSED_EVENTS, has_poll_event, paused_reading
 from .context import ConnectionState, ListenerContext
 from .limits import READ_BYTES
+from .read_ahead import ReadAhead
 from .requests import ClientRequests
 from .responses import ResponseQueue
 
@@ -26,7 +27,9 @@
         "_state",
         "_stream",
         "_writer",
+        "ahead",
         "processed_bytes",
+        "stream_bytes",
     )
 
     def __init__(
@@ -47,41 +50,52 @@
         self._writer = writer
         self._on_disconnect = on_disconnect
         self._parser = meta.CommandParser()
+        self.ahead = ReadAhead(listener, state, self._parser, writer, on_disconnect)
+        self.stream_bytes = 0  # bytes received for the stream, and bytes read from it
         self.processed_bytes = 0
 
     async def run(self) -> None:
-        """Read commands until the client closes or framing is lost."""
+        """Read commands until the client closes; once framing is lost, discard what it sends."""
         try:
             await self._read_commands()
+            while self._state.framing_lost and await self._stream.read(READ_BYTES):
+                pass
         except OSError:
             self._listener.counters.increment("clients.reset")
-        if not self._state.framing_lost:
-            self._on_disconnect()
+        self._on_disconnect()
         self._responses.mailbox.wake()
 
     async def _read_commands(self) -> None:
         while not self._state.framing_lost and await self._read():
             incoming = self._requests.incoming
-            if incoming is None:
-                continue
-            if incoming.pipe.is_full():
-                await self._wait_for_pipe(incoming.pipe)
-            incoming.pipe.reserve_read(READ_BYTES)
+            if incoming is not None:
+                incoming.pipe.reserve_read(READ_BYTES)
 
     async def _read(self) -> bool:
         """Read and process the next bytes; return whether to continue to read. No copy of the bytes is kept."""
+        self.ahead.resume()
         data = await self._stream.read(READ_BYTES)
-        if not data or not await self._process(data):
+        if not data or (len(data) == READ_BYTES and self._has_closed()):
             return False
         self.processed_bytes += len(data)
+        if not await self._process(self._parser.feed(data)):
+            return False
         self._update_partial_since()
+        self.ahead.account()
         return True
 
-    async def _process(self, data: bytes) -> bool:
-        """Process received bytes; return False if the client has disconnected before a response slot was free."""
-        for item in self._parser.feed(data):
+    def _has_closed(self) -> bool:
+        """Return whether the client has closed, as it may have sent much more than was read."""
+        return has_poll_event(self._writer, PEER_CLOSED_EVENTS)
+
+    async def _process(self, items: Iterable[meta.ParsedInput]) -> bool:
+        """Process parsed input; return False if the client has disconnected before a response slot was free."""
+        for item in items:
             if isinstance(item, meta.ValueChunk):
                 self._requests.accept_chunk(item)
+                incoming = self._requests.incoming
+                if incoming is not None and incoming.pipe.is_full():
+                    await self._wait_for_pipe(incoming.pipe)
                 continue
             if self._responses.is_full() and not await self._wait_for_slot():
                 return False
@@ -94,14 +108,25 @@
     async def _wait_for_slot(self) -> bool:
         """Wait for a free response slot; return False if the client disconnects first.
 
-        This bounds the memory that a client takes by sending commands without reading its responses.
+        This bounds the memory that a client takes by sending commands without reading its responses. What it sends
+        meanwhile is read ahead, so that its end of file is seen.
         """
+        self.ahead.begin()
+        await self._read_stream_ahead()
         while self._responses.is_full() and not self._state.disconnected:
             self._responses.has_free_slot.clear()
             self._listener.watch_for_disconnect(self)
             await self._responses.has_free_slot.wait()
+        self.ahead.end()
         return not self._responses.is_full()
 
+    async def _read_stream_ahead(self) -> None:
+        """Pass what the stream's reader holds to the parser, as it precedes what is read ahead."""
+        while self.processed_bytes < self.stream_bytes:
+            data = await self._stream.read(READ_BYTES)
+            self.processed_bytes += len(data)
+            self.ahead.take(data)
+
     def _update_partial_since(self) -> None:
         """Record since when a command is partial; a value that arrives slowly counts from its last bytes."""
         if not self._parser.has_partial_input():
@@ -112,6 +137,7 @@
     async def _wait_for_pipe(self, pipe: Pipe) -> None:
         """Wait until the pipe of the incoming value accepts more data."""
         self._listener.watch_for_disconnect(self)
+        self.ahead.pause()
         with paused_reading(self._writer):
             await pipe.wait_until_not_full()
         self._state.partial_since = self._listener.clock.now()
@@ -121,6 +147,6 @@
         transport = self._writer.transport
         if self._state.disconnected or transport.is_closing():
             return False
-        if not transport.is_reading() and has_poll_event(self._writer, PEER_CLOSED_EVENTS):  # type: ignore[attr-defined]
-            self._on_disconnect()
+        if not transport.is_reading():  # type: ignore[attr-defined]
+            self.ahead.look_for_disconnect()
         return not self._state.disconnected and (self._responses.is_full() or self._requests.incoming is not None)
--- a/starlingthread/net/clients/requests.py
+++ b/starlingthread/net/clients/requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Callable
 from typing import NamedTuple
 
 from ...core.messages import Answer, BodyReceived, ClientDisconnected, PendingRequest, Rejected, Served
@@ -36,7 +37,15 @@
 class ClientRequests:
     """The unanswered requests of one connection; the router delivers its answers to this requester."""
 
-    __slots__ = ("_listener", "_responses", "_state", "incoming", "slots_by_request", "unsubmitted")
+    __slots__ = (
+        "_listener",
+        "_responses",
+        "_state",
+        "incoming",
+        "is_end_visible",
+        "slots_by_request",
+        "unsubmitted",
+    )
 
     def __init__(self, listener: ListenerContext, state: ConnectionState, responses: ResponseQueue) -> None:
         self._listener = listener
@@ -46,6 +55,13 @@
         self.incoming: IncomingValue | None = None
         self.unsubmitted: PendingRequest | None = None  # the incoming request until enough of its value has arrived
 
+        # Returns whether the client's end would have been seen by now if the client had closed.
+        self.is_end_visible: Callable[[], bool] = lambda: True
+
+    def may_start_attempt(self) -> bool:
+        """Return whether the client is known to be there still."""
+        return not self._state.disconnected and self.is_end_visible()
+
     # commands
 
     def accept(self, item: meta.Command | meta.ControlCommand | meta.MalformedCommand) -> None:
--- a/starlingthread/net/clients/shedding.py
+++ b/starlingthread/net/clients/shedding.py
@@ -16,7 +16,7 @@
 class EarlyRejector:
     """Inspects the data that one connection receives before its reader does."""
 
-    __slots__ = ("_listener", "_passed_bytes", "_reader", "_responses", "_state", "_transport")
+    __slots__ = ("_listener", "_reader", "_responses", "_state", "_transport")
 
     def __init__(
         self,
@@ -31,7 +31,6 @@
         self._responses = responses
         self._reader = reader
         self._transport = transport
-        self._passed_bytes = 0  # data left to the reader
 
     def consume(self, data: bytes) -> bool:
         """Reject the data just received if it is one whole read that is shed; return whether it was rejected.
@@ -40,7 +39,7 @@
         """
         if self._listener.router.core_load.is_shedding and self._is_idle() and self._reject(data):
             return True
-        self._passed_bytes += len(data)
+        self._reader.stream_bytes += len(data)
         return False
 
     def _reject(self, data: bytes) -> bool:
@@ -68,6 +67,6 @@
             return False
         if self._responses.slots or self._listener.draining or state.partial_since is not None:
             return False
-        if self._reader.processed_bytes != self._passed_bytes:
+        if self._reader.processed_bytes != self._reader.stream_bytes:
             return False
         return not self._transport.get_write_buffer_size()
--- a/starlingthread/net/clients/writer.py
+++ b/starlingthread/net/clients/writer.py
@@ -33,6 +33,8 @@
                 await self._drain()
         else:
             for part in parts:
+                if self._writer.transport.is_closing():
+                    raise ConnectionResetError
                 self._writer.writelines((part,))
                 if self._exceeds_unsent_limit():
                     await self._drain()
--- a/starlingthread/net/meta/chunked_value.py
+++ b/starlingthread/net/meta/chunked_value.py
@@ -7,6 +7,9 @@
 from .buffer import LineBuffer
 from .responses import CRLF
 
+# Maximum size of a chunk of buffered bytes, so that no more is passed on than the receiver of a value has room for.
+MAX_CHUNK_BYTES = 16384
+
 
 class ValueChunk(NamedTuple):
     """A chunk of a value over MAX_UNCHUNKED_BYTES; the last one ends with the value's CRLF."""
@@ -47,7 +50,7 @@
 
         The two bytes of the CRLF are never split over two chunks.
         """
-        available = min(self._bytes_left, buffer.unread_bytes())
+        available = min(self._bytes_left, buffer.unread_bytes(), MAX_CHUNK_BYTES)
         is_last = available == self._bytes_left
         size = available if is_last else max(0, min(available, self._bytes_left - len(CRLF)))
         data = buffer.read_block(size) or b""
--- a/starlingthread/net/meta/commands.py
+++ b/starlingthread/net/meta/commands.py
@@ -144,6 +144,24 @@
         """Return whether the head of an ms has been received, and its value in part."""
         return self._pending is not None or self._chunked_value.is_receiving
 
+    def held_bytes(self) -> int:
+        """Return the size of the unprocessed input, in which a value of up to MAX_UNCHUNKED_BYTES counts as a whole."""
+        unread_bytes = self._buffer.unread_bytes()
+        if self._pending is None:
+            return unread_bytes
+        return len(self._pending.head) + max(unread_bytes, self._pending.length)
+
+    def append(self, data: bytes) -> None:
+        """Append received bytes to the input, for a later call of :meth:`items`."""
+        if not self._framing_lost:
+            self._buffer.append(data)
+
+    def clear(self) -> None:
+        """Drop all input, as the connection is closed."""
+        self._framing_lost = True
+        self._buffer = LineBuffer()
+        self._pending = None
+
     def feed(self, data: bytes) -> Iterator[ParsedInput]:
         """Parse received bytes and yield complete items; once framing is lost all further input is ignored."""
         if self._framing_lost:
@@ -152,7 +170,11 @@
             yield chunk
             return
         self._buffer.append(data)
-        while (item := self._next()) is not None:
+        yield from self.items()
+
+    def items(self) -> Iterator[ParsedInput]:
+        """Yield the complete items of the input. Bytes may be appended between two items."""
+        while not self._framing_lost and (item := self._next()) is not None:
             self._framing_lost = isinstance(item, MalformedCommand) and item.framing_lost
             yield item
             if self._framing_lost:
--- a/starlingthread/net/streams.py
+++ b/starlingthread/net/streams.py
@@ -14,6 +14,9 @@
 
 # Poll events of a connection that its peer has closed or reset; they are reported even while received bytes are unread.
 PEER_CLOSED_EVENTS = select.POLLHUP | select.POLLERR | getattr(select, "POLLRDHUP", 0)
+# With at most this share of a receive buffer unread, the receive window is open. The system counts its own data for
+# each packet in the buffer too, so only a small share is sure.
+OPEN_WINDOW_SHARE = 1 / 8
 
 
 def limit_read_size(writer: asyncio.StreamWriter, max_bytes: int) -> None:
@@ -25,17 +28,50 @@
         writer.transport.max_size = max_bytes
 
 
-@contextlib.contextmanager
-def paused_reading(writer: asyncio.StreamWriter) -> Iterator[None]:
-    """Leave received bytes in the operating system meanwhile, where they count in no budget of this process."""
+def pause_reading(writer: asyncio.StreamWriter) -> None:
+    """Leave received bytes in the operating system from now on, unless the connection is being closed."""
     transport: Any = writer.transport
     if not transport.is_closing():
         transport.pause_reading()
+
+
+def resume_reading(writer: asyncio.StreamWriter) -> None:
+    """Read again, unless the connection is being closed."""
+    transport: Any = writer.transport
+    if not transport.is_closing():
+        transport.resume_reading()
+
+
+@contextlib.contextmanager
+def paused_reading(writer: asyncio.StreamWriter) -> Iterator[None]:
+    """Leave received bytes in the operating system meanwhile, where they count in no budget of this process."""
+    pause_reading(writer)
     try:
         yield
     finally:
-        if not transport.is_closing():
-            transport.resume_reading()
+        resume_reading(writer)
+
+
+def unread_bytes(writer: asyncio.StreamWriter) -> int | None:
+    """Return how many received bytes the operating system holds; None if it does not tell."""
+    unread = array.array("i", [0])
+    try:
+        fcntl.ioctl(writer.get_extra_info("socket").fileno(), termios.FIONREAD, unread)
+    except (OSError, ValueError):  # the socket is of another kind, or closed
+        return None
+    return unread[0]
+
+
+def has_open_window(writer: asyncio.StreamWriter) -> bool:
+    """Return whether the peer can send more although its bytes are not read.
+
+    If so, all that it has sent was received, and its end of file is reported once it is sent.
+    """
+    unread = unread_bytes(writer)
+    if unread is None:
+        return False
+    buffer_bytes = writer.get_extra_info("socket").getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+    return bool(unread <= buffer_bytes * OPEN_WINDOW_SHARE)
 
 
 def takes_more(writer: asyncio.StreamWriter) -> bool:
--- a/starlingthread/net/upstreams/actor.py
+++ b/starlingthread/net/upstreams/actor.py
@@ -109,6 +109,9 @@
         # A request that has ended in the meantime must not be executed.
         if not attempt.pending or request.finished or request.cancelled or now >= attempt.deadline:
             return False
+        if not request.requester.may_start_attempt():
+            self._context.counters.increment("attempts.requester_unseen")
+            return False
         # The window in which a server recognises a duplicate by its idempotency key may have closed during the connect.
         if now + MIN_TRANSIT_MS >= attempt.write_deadline:
             return False
--- a/tests/router_harness.py
+++ b/tests/router_harness.py
@@ -41,6 +41,10 @@
         """Record an answer to a client."""
         self.answers.append((request, answer))
 
+    def may_start_attempt(self) -> bool:
+        """Let attempts start."""
+        return True
+
     def apply_endpoint_list(self, listing: EndpointsReceived, now: float) -> None:
         """Ignore the endpoint list, as there are no actors of cache servers."""
 
