Remember which requests may have run after their clients have left

Cause: what may have run was known per open request only. The id was free again as soon as the client left, with the attempt still running.

Rejections before the decision module (memory, mailbox, core) are failures for such a request, as `busy` promises no effect. Counter requests.repeated, log request-repeated.

Class: an identity was kept for as long as the object that carried it.

--- a/starlingthread/core/messages.py
+++ b/starlingthread/core/messages.py
@@ -68,6 +68,8 @@
     cost_hint: float = 0.0  # The client's estimate of the work, in an arbitrary unit; 0: no hint.
     is_retry: bool = False
     is_write: bool = False
+    # What tells whether the request has come before, as it must not run twice; 0: it may run any number of times.
+    identity: int = 0
     id: int = 0  # The request has the id 0 until the actor has processed its arrival.
     finished: bool = False  # The request was answered, or its client has disconnected.
     # The client has disconnected, and ClientDisconnected is in the mailbox: no further attempt may start.
--- a/starlingthread/core/router.py
+++ b/starlingthread/core/router.py
@@ -63,6 +63,7 @@
 # While the mailbox holds this many messages, new requests are rejected without asking the decision module.
 MAX_MAILBOX_MESSAGES = 20000
 MAX_ERRORS_LOGGED = 50
+MAX_REPEATED_LOGGED = 20
 
 
 class Router:
@@ -186,12 +187,20 @@
         self.telemetry.on_received()
         if not self.mailbox.put(RequestReceived(request)):
             self.counters.increment("requests.mailbox_full")
-            self._table.finish(request, Rejected())
+            self._table.finish(request, self._unprocessed_answer(request))
 
     def reject(self, request: PendingRequest) -> None:
         """Reject a request without asking the decision module, as there is no memory to buffer it."""
         self.telemetry.on_received()
-        self._table.finish(request, Rejected())
+        self._table.finish(request, self._unprocessed_answer(request))
+
+    def may_have_run(self, identity: int) -> bool:
+        """Return whether a request of an identity may have been executed, so that it must not be rejected."""
+        return self.balancer.fleet.executions.may_have_run(identity)
+
+    def _unprocessed_answer(self, request: PendingRequest) -> Answer:
+        """Return the answer to a request of which no attempt starts; a rejection promises that it was not executed."""
+        return Failed() if self.may_have_run(request.identity) else Rejected()
 
     def fail_all(self) -> None:
         """Answer every open request as failed, before this process exits."""
@@ -205,6 +214,7 @@
             return
         now = self.clock.now()
         self._table.add(request)
+        self._log_repeated(request)
         class_index = self._class_indexes.get(request.request_class.name)
         if request.deadline <= now or class_index is None:
             # The deadline has passed, or a reload has removed the class: a request with a streamed value is submitted
@@ -224,9 +234,17 @@
             is_retry=request.is_retry,
             is_write=request.is_write,
             queue_time=self.core_load.queue_time(now - request.received_at, budget / request.request_class.deadline),
+            identity=request.identity,
         )
         self._decide(event, now)
 
+    def _log_repeated(self, request: PendingRequest) -> None:
+        if not self.may_have_run(request.identity):
+            return
+        self.counters.increment("requests.repeated")
+        if self.counters["requests.repeated"] <= MAX_REPEATED_LOGGED:
+            log.info("request-repeated", request=request.id, **{"class": request.request_class.name})
+
     def _set_request_deadline(self, request: PendingRequest) -> None:
         self.deadlines.clear(request.deadline_timer)
         request.deadline_timer = self.deadlines.set(
--- a/starlingthread/events.py
+++ b/starlingthread/events.py
@@ -87,6 +87,8 @@
     is_write: bool = False
     single_use: bool = False  # the value is streamed and not buffered, so the request can be sent only once
     queue_time: float = 0.0  # ms that the request was queued for this router's own CPU core
+    # What tells whether the request has come before, as it must not run twice; 0: it may run any number of times.
+    identity: int = 0
 
 
 class Outcome(NamedTuple):
--- a/starlingthread/net/clients/requests.py
+++ b/starlingthread/net/clients/requests.py
@@ -8,7 +8,7 @@
 
 from ...core.messages import Answer, BodyReceived, ClientDisconnected, PendingRequest, Rejected, Served
 from ...core.pipe import Pipe
-from ...settings import RequestClass
+from ...settings import Idempotency, RequestClass
 from .. import meta
 from .context import ConnectionState, ListenerContext
 from .limits import MAX_MALFORMED_COMMANDS, RESPONSE_MARGIN_MS, VALUE_TIMEOUT_MS
@@ -26,6 +26,14 @@
     return float(text) if meta.NUMBER_PATTERN.fullmatch(text) else 0.0
 
 
+def request_identity(command: meta.Command, request_class: RequestClass) -> int:
+    """Return what tells whether a request has come before; 0 if it may run any number of times."""
+    if request_class.idempotency == Idempotency.IDEMPOTENT:
+        return 0
+    idempotency_key = command.fields.get("k", "") if request_class.idempotency == Idempotency.IDEMPOTENCY_KEY else ""
+    return key_hash(b"k" + idempotency_key.encode() if idempotency_key else b"O" + command.request_id)
+
+
 class IncomingValue(NamedTuple):
     """A request whose value is being received in chunks."""
 
@@ -100,7 +108,10 @@
             listener.counters.increment("clients.duplicate_id")
             self._respond_malformed(slot, meta.client_error("id in use"))
             return
-        is_admitted = self._state.is_next_command_admitted or command.is_chunked
+        identity = request_identity(command, request_class)
+        is_admitted = (
+            self._state.is_next_command_admitted or command.is_chunked or listener.router.may_have_run(identity)
+        )
         self._state.is_next_command_admitted = False
         if not is_admitted and (
             rejection := listener.router.core_load.shed(self._state.last_used_at, request_class, command.timeout_ms)
@@ -109,7 +120,7 @@
             return
         listener.open_ids.add(command.request_id)
         body = Pipe(listener.budget) if command.is_chunked else None
-        request = self._create_request(command, request_class, body)
+        request = self._create_request(command, request_class, identity, body)
         self.slots_by_request[request] = slot
         self._responses.reserve(slot, len(command.value or b""))
         if body is None:
@@ -118,7 +129,9 @@
             self.incoming = IncomingValue(slot, request, body)
             self.unsubmitted = request
 
-    def _create_request(self, command: meta.Command, request_class: RequestClass, body: Pipe | None) -> PendingRequest:
+    def _create_request(
+        self, command: meta.Command, request_class: RequestClass, identity: int, body: Pipe | None
+    ) -> PendingRequest:
         now = self._state.last_used_at
         if body is None:
             # The wait is bounded by the request class, and by the remaining lifetime of a process that shuts down.
@@ -137,6 +150,7 @@
             cost_hint=_number_field(command.fields, "h"),
             is_retry=command.fields.get("r") == "1",
             is_write=command.is_write,
+            identity=identity,
         )
 
     def _submit(self, request: PendingRequest) -> None:
--- a/starlingthread/net/clients/shedding.py
+++ b/starlingthread/net/clients/shedding.py
@@ -7,6 +7,7 @@
 
 import asyncio
 
+from ...settings import Idempotency
 from .. import meta
 from .context import ConnectionState, ListenerContext
 from .reader import ClientReader
@@ -48,8 +49,8 @@
         if read is None or read.request_id in listener.open_ids:
             return False
         request_class = listener.classes.get(read.class_name)
-        if request_class is None:
-            return False
+        if request_class is None or request_class.idempotency != Idempotency.IDEMPOTENT:
+            return False  # a request that may have been executed before must not be rejected
         now = listener.clock.now()
         rejection = listener.router.core_load.shed(now, request_class, read.timeout_ms)
         if rejection is None:
--- a/starlingthread/policy/attempt_gate.py
+++ b/starlingthread/policy/attempt_gate.py
@@ -9,7 +9,8 @@
 from ..events import NEVER_EXECUTED, AttemptResult, Outcome
 from ..limits.slow_start import WARM_SHARE_FACTOR, WarmCapacity, slow_start_rate, warm_share
 from ..settings import Idempotency
-from ..state.records import AttemptRecord, PossibleExecution, RequestState, Server
+from ..state.executions import PossibleExecution
+from ..state.records import AttemptRecord, RequestState, Server
 from .load_estimate import LoadEstimate
 
 # Range of the random factor on an outlier's ejection time, so that routers do not return to the server together.
@@ -67,10 +68,12 @@
             return False
         if request_class.deduplication_scope == "all":
             return True
-        executed_at = self.fleet.servers[execution.server].endpoint
+        executed_at = self.fleet.servers.get(execution.server)
+        if executed_at is None:
+            return False
         if request_class.deduplication_scope == "zone":
-            return executed_at.zone == server.endpoint.zone
-        return executed_at.cell == server.endpoint.cell
+            return executed_at.endpoint.zone == server.endpoint.zone
+        return executed_at.endpoint.cell == server.endpoint.cell
 
     def _record(self, now: float, state: RequestState, server: Server) -> None:
         load = self.load
@@ -84,8 +87,9 @@
         if self.fleet.zones:
             self.fleet.zones.on_sent(now, server.endpoint.zone, number)
         server.slow_start.spend(load.relative_cost(state))
-        if state.request_class.idempotency == Idempotency.IDEMPOTENCY_KEY:
-            state.possible_executions.append(PossibleExecution(number, now, len(state.attempts) - 1))
+        if state.request_class.idempotency != Idempotency.IDEMPOTENT:
+            execution = PossibleExecution(number, now, len(state.attempts) - 1, state.request.id)
+            self.fleet.executions.add(state.request.identity, state.possible_executions, execution)
 
     def on_outcome(self, state: RequestState, event: Outcome) -> AttemptRecord | None:
         """Remove an ended attempt from the record and return it, or return None if it was not in flight."""
@@ -99,19 +103,11 @@
         server = self.fleet.servers[attempt.server]
         server.cost_in_flight = max(0.0, server.cost_in_flight - attempt.expected_time)
         server.attempts_in_flight = max(0, server.attempts_in_flight - 1)
-        self._update_possible_executions(state, event, attempt)
+        if event.result in NEVER_EXECUTED:
+            request = state.request
+            self.fleet.executions.disprove(request.identity, state.possible_executions, request.id, event.attempt)
         return attempt
 
-    def _update_possible_executions(self, state: RequestState, event: Outcome, attempt: AttemptRecord) -> None:
-        """Forget the ended attempt if it was never executed; what is known of other attempts stays as it is."""
-        if state.request_class.idempotency == Idempotency.IDEMPOTENT:
-            return
-        executions = [execution for execution in state.possible_executions if execution.attempt != event.attempt]
-        if event.result not in NEVER_EXECUTED:
-            executions.append(PossibleExecution(attempt.server, attempt.sent_at, event.attempt))
-            executions.sort(key=lambda execution: execution.attempt)
-        state.possible_executions = executions
-
     def on_failure(self, now: float, server: Server, result: AttemptResult, sent_at: float) -> None:
         """Record a failure of a cache server, which may eject it as an outlier."""
         if server is not self.fleet.origin:
--- a/starlingthread/policy/balancer.py
+++ b/starlingthread/policy/balancer.py
@@ -111,7 +111,8 @@
             return
         request_class = classes[request.class_index]
         expected_cost = self.load.service_times[request_class.name].expected_time(request.cost_hint)
-        state = RequestState(request, request_class, now, expected_cost)
+        executions = fleet.executions.open(request.identity)
+        state = RequestState(request, request_class, now, expected_cost, executions)
         fleet.requests[request.id] = state
         self.dispatcher.dispatch(now, state, self.routing.first_step(now, state))
 
--- a/starlingthread/policy/completion.py
+++ b/starlingthread/policy/completion.py
@@ -57,6 +57,7 @@
             self._cancel_attempts(state)
         if state.attempts_in_flight == 0:
             self.fleet.requests.pop(state.request.id, None)
+            self.fleet.executions.close(now, state.request.identity, self.fleet.retention)
         self._resume_fetch_waiters(now, state)
 
     def _cancel_attempts(self, state: RequestState) -> None:
--- a/starlingthread/state/fleet.py
+++ b/starlingthread/state/fleet.py
@@ -15,6 +15,7 @@
 from ..limits.outliers import OutlierDetector
 from ..limits.slow_start import SlowStartBudget, first_tokens
 from ..settings import Settings
+from .executions import ExecutionHistory
 from .records import RequestState, Server
 
 if TYPE_CHECKING:  # the module is imported at run time only if failover is enabled
@@ -39,6 +40,7 @@
         self.in_maintenance: set[int] = set()
         self.list_version = 0  # number of changes of the ready servers
         self.demand = FleetDemand()
+        self.executions = ExecutionHistory()
         self.zones: ZoneFailover | None = None  # health of the zones; None: failover is disabled
 
     def apply_settings(self, settings: Settings) -> None:
--- a/starlingthread/state/records.py
+++ b/starlingthread/state/records.py
@@ -15,6 +15,7 @@
 from ..limits.outliers import OutlierDetector
 from ..limits.slow_start import SlowStartBudget
 from ..settings import RequestClass
+from .executions import PossibleExecution
 
 # Half-life of counts, about the time for which a cache keeps a value without requests.
 COUNT_HALF_LIFE_MS = 10000.0
@@ -46,14 +47,6 @@
     fetch_probability: float  # probability that the server has to fetch the value from the origin
 
 
-class PossibleExecution(NamedTuple):
-    """An attempt of a request that a server may have executed."""
-
-    server: int
-    sent_at: float
-    attempt: int
-
-
 class AffinityCount(NamedTuple):
     """How often this router recently sent requests for a key to one server."""
 
@@ -183,8 +176,19 @@
         "streaming",
     )
 
-    def __init__(self, request: Request, request_class: RequestClass, now: float, expected_cost: float) -> None:
-        """Create the state of a request that is received now; expected_cost: ms at the fastest machine kind."""
+    def __init__(
+        self,
+        request: Request,
+        request_class: RequestClass,
+        now: float,
+        expected_cost: float,
+        possible_executions: list[PossibleExecution],
+    ) -> None:
+        """Create the state of a request that is received now.
+
+        expected_cost: ms at the fastest machine kind; possible_executions: those of its identity, shared with the
+        history of executions
+        """
         self.request = request
         self.request_class = request_class
         self.expected_cost = expected_cost
@@ -193,7 +197,7 @@
         self.streaming = False  # whether a part of the answer has been sent to the client
         self.attempts: list[AttemptRecord | None] = []  # attempts by attempt number; None: the attempt has ended
         self.attempts_in_flight = 0
-        self.possible_executions: list[PossibleExecution] = []  # in the order in which the attempts were sent
+        self.possible_executions = possible_executions  # in the order in which the attempts were sent
         self.missed_servers: list[int] = []  # servers that answered with a miss
         self.failed_servers: list[int] = []  # servers that get no further attempt
         self.last_failed_server = -1  # server of the last failed attempt, which may get one more attempt
