Tell the other process of an upgrade which requests may have run

Cause: each process knew only the requests that it had sent itself.

Change: over the channel of the handover the old process sends its history when the new one asks for it, before that one accepts clients, and both send each change from then on, one batch a turn of the event loop. The lines are HandoverStatus with more fields, which earlier versions ignore; with one of them the new process waits 1 s in vain, logs handover-executions-missing, and goes on.

Tests: both directions, a history of 3,000 in lines below the limit.

--- a/starlingthread/core/clock.py
+++ b/starlingthread/core/clock.py
@@ -19,6 +19,10 @@
         """Return the time in milliseconds."""
         return self._base + time.monotonic() * 1000.0
 
+    def from_loop_time(self, seconds: float) -> float:
+        """Convert the event loop's monotonic time in seconds, which all processes share, to a time of this clock."""
+        return seconds * 1000.0 + self._base
+
     def to_loop_time(self, at: float) -> float:
         """Convert a time of this clock to the event loop's monotonic time in seconds."""
         return (at - self._base) / 1000.0
--- a/starlingthread/handover/actor.py
+++ b/starlingthread/handover/actor.py
@@ -13,6 +13,10 @@
 from ..core.task_supervisor import TaskSupervisor
 from ..logs import log
 from .channel import MAX_LINE_BYTES, HandoverListener, HandoverStatus, InheritedSockets, send_offer
+from .execution_exchange import ExecutionExchange
+
+# A new process waits at most this long for the old one to send which requests may have run.
+EXECUTIONS_TIMEOUT_S = 1.0
 
 
 class ServingProcess(Protocol):
@@ -44,8 +48,11 @@
         counters: Counters,
         folder: Path | None,
         inherited: InheritedSockets | None,
+        executions: ExecutionExchange | None = None,
     ) -> None:
         self.process = process
+        self._executions = executions
+        self._executions_received = asyncio.Event()
         self.supervisor = supervisor
         self.counters = counters
         self.folder = folder  # The folder of the handover socket; None disables the handover to a successor.
@@ -60,12 +67,24 @@
     # The channel to the predecessor.
 
     async def start(self) -> None:
-        """Begin to wait for the exit of the predecessor, if there is one."""
-        if self.inherited is not None:
-            reader, self._predecessor = await asyncio.open_connection(sock=self.inherited.channel, limit=MAX_LINE_BYTES)
-            self.supervisor.start(
-                self._wait_for_predecessor_exit(reader), "handover-predecessor", lambda _: self._on_predecessor_exited()
-            )
+        """Begin to wait for the exit of the predecessor, if there is one, and ask it which requests may have run."""
+        if self.inherited is None:
+            return
+        reader, self._predecessor = await asyncio.open_connection(sock=self.inherited.channel, limit=MAX_LINE_BYTES)
+        self.supervisor.start(
+            self._read_predecessor_status(reader), "handover-predecessor", lambda _: self._on_predecessor_exited()
+        )
+        if self._executions is not None:
+            await self._request_executions(self._predecessor, self._executions)
+
+    async def _request_executions(self, predecessor: asyncio.StreamWriter, executions: ExecutionExchange) -> None:
+        """Wait until the predecessor has sent which requests may have run; an earlier version sends nothing."""
+        predecessor.write(msgspec.json.encode(HandoverStatus(wants_executions=True)) + b"\n")
+        executions.attach(predecessor)
+        try:
+            await asyncio.wait_for(self._executions_received.wait(), EXECUTIONS_TIMEOUT_S)
+        except TimeoutError:
+            log.warning("handover-executions-missing", reason=f"not sent within {EXECUTIONS_TIMEOUT_S} s")
 
     def on_serving(self) -> None:
         """Notify the predecessor that this process accepts connections, and wait for a successor."""
@@ -73,20 +92,31 @@
             self._predecessor.write(msgspec.json.encode(HandoverStatus(serving=True)) + b"\n")
         self._start_listening()
 
-    async def _wait_for_predecessor_exit(self, reader: asyncio.StreamReader) -> None:
+    async def _read_predecessor_status(self, reader: asyncio.StreamReader) -> None:
+        """Read the status messages of the predecessor until it exits."""
         try:
-            while await reader.read(MAX_LINE_BYTES):
-                pass
-        except OSError:
-            pass
+            while line := await reader.readline():
+                status = msgspec.json.decode(line, type=HandoverStatus)
+                if self._executions is not None:
+                    self._executions.apply(status, self._predecessor)
+                if status.executions_complete:
+                    self._executions_received.set()
+        except (OSError, ValueError, msgspec.MsgspecError) as error:
+            log.warning("handover-failed", reason=repr(error))
         self._on_predecessor_exited()
 
     def _on_predecessor_exited(self) -> None:
+        self._executions_received.set()
         if self._predecessor is not None:
+            self._detach(self._predecessor)
             self._predecessor.transport.abort()
             self._predecessor = None
             self._double_resource_share("predecessor-exited")
 
+    def _detach(self, channel: asyncio.StreamWriter) -> None:
+        if self._executions is not None:
+            self._executions.detach(channel)
+
     def _double_resource_share(self, log_event: str) -> None:
         self.resource_share = min(1.0, self.resource_share * 2)
         log.info(log_event, share=self.resource_share)
@@ -146,6 +176,10 @@
         try:
             while line := await reader.readline():
                 status = msgspec.json.decode(line, type=HandoverStatus)
+                if self._executions is not None:
+                    self._executions.apply(status, self._successor)
+                    if status.wants_executions:
+                        self._executions.attach(self._successor)
                 if status.serving and not self.has_handed_over:
                     self.has_handed_over = True
                     log.info("handed-over")
@@ -160,6 +194,7 @@
             return
         self._has_successor = False
         if self._successor is not None:
+            self._detach(self._successor)
             self._successor.transport.abort()
             self._successor = None
         self._double_resource_share("successor-exited")
--- a/starlingthread/handover/channel.py
+++ b/starlingthread/handover/channel.py
@@ -2,7 +2,8 @@
 
 The channel is a connection over a Unix socket in a folder that both processes share. The old process first sends a
 :class:`HandoverOffer` as one line of JSON, with the listening sockets attached as ancillary data. The new process
-replies with a :class:`HandoverStatus` once it accepts connections. Each process detects the exit of the other by the
+replies with a :class:`HandoverStatus` once it accepts connections. Both processes tell each other of the requests that
+must not run twice, each in a line of the same form. Each process detects the exit of the other by the
 end of the channel.
 """
 
@@ -34,10 +35,22 @@
     sockets: list[str]  # The use and the address of each socket.
 
 
-class HandoverStatus(msgspec.Struct, frozen=True):
-    """Each later message, from the new process."""
+class ExecutionRecord(msgspec.Struct, frozen=True, array_like=True):
+    """An attempt of a request that must not run twice."""
+
+    identity: int  # The hash of the request's idempotency key or id.
+    server: int
+    sent_at_s: float | None  # The time of the system's monotonic clock; None: so long ago that it is not known.
+
+
+class HandoverStatus(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Each later message, from either process. Earlier versions ignore the fields that they do not know."""
 
     serving: bool = False  # The new process accepts connections from now on.
+    wants_executions: bool = False  # The new process asks for the executions that the old one knows.
+    executed: list[ExecutionRecord] = []  # Attempts that may have been executed.
+    disproved: list[ExecutionRecord] = []  # Attempts of earlier messages that turned out never to have been executed.
+    executions_complete: bool = False  # All executions that the old process knows were sent.
 
 
 class InheritedSockets(NamedTuple):
--- a/starlingthread/router_process/process.py
+++ b/starlingthread/router_process/process.py
@@ -14,6 +14,7 @@
 from ..core.task_supervisor import TaskSupervisor
 from ..handover.actor import Handover
 from ..handover.channel import InheritedSockets
+from ..handover.execution_exchange import ExecutionExchange
 from ..logs import LogWriter, log
 from ..net.management import ManagementServer
 from ..options import Options
@@ -68,7 +69,8 @@
         resources = SharedResources(
             self.actors, self._management, self.configuration, self.supervisor, self.stop_requested, self._on_failure
         )
-        self._handover = Handover(resources, self.supervisor, self.counters, folder, inherited)
+        executions = ExecutionExchange(router.balancer.fleet.executions, router.clock)
+        self._handover = Handover(resources, self.supervisor, self.counters, folder, inherited, executions)
         resources.apply_resource_share(self._handover.resource_share)
 
     async def run(self) -> int:
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -61,7 +61,9 @@
     assert {str(path.relative_to(ROOT)) for path in folder.glob("*.py")} == set(FILES)
 
 
-@pytest.mark.parametrize("name", [*FILES, *(f"starlingthread/state/{n}.py" for n in ("executions", "fleet", "records"))])
+@pytest.mark.parametrize(
+    "name", [*FILES, *(f"starlingthread/state/{n}.py" for n in ("executions", "fleet", "records"))]
+)
 def test_the_module_keeps_no_state_and_no_clock_of_its_own(name: str) -> None:
     tree = ast.parse((ROOT / name).read_text())
     parts = {Path(file).stem for file in FILES} | {"executions", "records"}  # imported by modules in their own folder
--- a/tests/test_repeated_requests.py
+++ b/tests/test_repeated_requests.py
@@ -4,9 +4,17 @@
 
 import asyncio
 from pathlib import Path
+from unittest.mock import Mock
 
+import msgspec
 import pytest
 
+from starlingthread.core.clock import Clock
+from starlingthread.core.counters import Counters
+from starlingthread.core.task_supervisor import TaskSupervisor
+from starlingthread.handover.actor import Handover
+from starlingthread.handover.channel import MAX_LINE_BYTES, HandoverStatus, request_handover
+from starlingthread.handover.execution_exchange import ExecutionExchange
 from starlingthread.state import executions
 from starlingthread.state.executions import ExecutionHistory, PossibleExecution
 
@@ -154,3 +162,63 @@
     history.disprove(5, known, request=9, attempt=0)
     history.close(20.0, 5, retention=100.0)
     assert not history.may_have_run(5) and len(history) == 0 and not history.may_have_run(0)
+
+
+async def upgraded(folder: Path) -> tuple[Handover, ExecutionHistory, Handover, ExecutionHistory]:
+    """Return the handovers and histories of an old process, which knows one execution, and of its successor."""
+    old, new = ExecutionHistory(), ExecutionHistory()
+    old.add(1, old.open(1), PossibleExecution(3, 1000.0, 0, 1))
+    old_handover = Handover(Mock(), TaskSupervisor(), Counters(), folder, None, ExecutionExchange(old, Clock()))
+    old_handover.process.sockets = dict  # type: ignore[method-assign]
+    old_handover.on_serving()
+    inherited = await asyncio.to_thread(request_handover, folder)
+    new_handover = Handover(Mock(), TaskSupervisor(), Counters(), folder, inherited, ExecutionExchange(new, Clock()))
+    await new_handover.start()
+    return old_handover, old, new_handover, new
+
+
+def test_both_processes_of_an_upgrade_know_which_requests_may_have_run(tmp_path: Path) -> None:
+    """Guards against an id that runs again at the other process of an upgrade."""
+
+    async def scenario() -> None:
+        old_handover, old, new_handover, new = await upgraded(tmp_path)
+        assert new.may_have_run(1)  # known before the new process accepts its first client
+        known = old.open(2)
+        old.add(2, known, PossibleExecution(3, 2000.0, 0, 2))
+        new.add(3, new.open(3), PossibleExecution(3, 2000.0, 0, 1))
+        await until(lambda: new.may_have_run(2) and old.may_have_run(3))
+        old.disprove(2, known, request=2, attempt=0)
+        await until(lambda: not new.may_have_run(2))
+        assert new.open(1)[0].sent_at == pytest.approx(1000.0, abs=50.0)
+        for handover, channel in ((new_handover, new_handover._predecessor), (old_handover, old_handover._successor)):
+            assert channel is not None
+            channel.transport.abort()
+            handover.close()
+            await handover.supervisor.stop()
+
+    asyncio.run(scenario())
+
+
+def test_a_large_history_reaches_the_new_process_in_lines_within_the_limit(
+    tmp_path: Path,
+) -> None:
+    """Guards against a line that an earlier version rejects, and with it the handover."""
+
+    async def scenario() -> None:
+        history = ExecutionHistory()
+        for number in range(3000):
+            identity = (1 << 64) - 1 - number
+            history.add(identity, history.open(identity), PossibleExecution((1 << 32) - 1, 1e12 + number / 7, 0, 1))
+        writer = Mock()
+        exchange = ExecutionExchange(history, Clock())
+        writer.transport.get_write_buffer_size = lambda: 0
+        exchange.attach(writer)
+        lines = b"".join(call.args[0] for call in writer.write.call_args_list).splitlines()
+        assert max(map(len, lines)) < MAX_LINE_BYTES
+        other = ExecutionHistory()
+        receiving = ExecutionExchange(other, Clock())
+        for line in lines:
+            receiving.apply(msgspec.json.decode(line, type=HandoverStatus), None)
+        assert len(other) == 3000
+
+    asyncio.run(scenario())
