Send nothing to the old process of a cache server once a new one is told at its address

Cause: a server is known by name and address. A later since_ms replaced its record in the decision module, but its pool of connections lived on.

Change: a later since_ms (as a new address did) is another process: idle connections are closed, connections opened before are not used again, also those being established, and attempts in flight end as they would have. A since_ms that is earlier, or 0, changes nothing. Counter servers.replaced, log server-replaced.

Class: an identity (name and address) without the incarnation that carries it.

--- a/starlingthread/net/upstreams/actor.py
+++ b/starlingthread/net/upstreams/actor.py
@@ -146,8 +146,8 @@
         if not self._may_write(exchange):
             self.reporter.report(exchange, AttemptResult.NOT_SENT)
             self.pool.release(connection)
-        elif not connection.is_reusable(self.pool.address):
-            # The server has moved, so that a new one may be at the old address, or it closed the connection at once.
+        elif not connection.is_reusable(self.pool.generation):
+            # The server has moved or was replaced, or it closed the connection at once.
             self.reporter.report(exchange, AttemptResult.CONNECT_FAILED)
             self.pool.close_connection(connection)
         else:
--- a/starlingthread/net/upstreams/connection.py
+++ b/starlingthread/net/upstreams/connection.py
@@ -40,6 +40,7 @@
         "awaiting_response",
         "closed",
         "exchange",
+        "generation",
         "idle_since",
         "out_of_sync",
         "parser",
@@ -51,10 +52,13 @@
         "written_at",
     )
 
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, address: tuple[str, int]) -> None:
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, address: tuple[str, int], generation: int = 0
+    ) -> None:
         self.reader = reader
         self.writer = writer
         self.address = address
+        self.generation = generation
         self.parser = meta.AnswerParser()
         self._first_read: ReadReservation | None = None
         self.exchange: Exchange | None = None
@@ -99,12 +103,12 @@
         elif self.parser.has_partial_input():
             limit_read_size(self.writer, READ_BYTES)
 
-    def is_reusable(self, address: tuple[str, int]) -> bool:
-        """Whether another request can be sent: the connection is open, in sync, and to the server's current address."""
+    def is_reusable(self, generation: int) -> bool:
+        """Whether another request can be sent: the connection is open, in sync, and to the server's current process."""
         return not (
             self.out_of_sync
             or self.closed
             or self.reader.at_eof()
             or self.writer.transport.is_closing()
-            or self.address != address
+            or self.generation != generation
         )
--- a/starlingthread/net/upstreams/fleet.py
+++ b/starlingthread/net/upstreams/fleet.py
@@ -9,6 +9,7 @@
 from ...core.router import Router
 from ...core.task_supervisor import TaskSupervisor
 from ...events import AttemptResult, EndpointList, EndpointListKind, HealthCheckResult, ServerState
+from ...logs import log
 from ...settings import Settings
 from .actor import ServerActor
 from .connection import Connection, PendingHealthCheck
@@ -101,8 +102,9 @@
         if listing.event.kind == EndpointListKind.FAILED:
             return
         unavailable = self._unavailable_servers(listing.event)
+        started = {endpoint.server: endpoint.started for endpoint in listing.event.endpoints}
         for number, address in listing.addresses.items():
-            self._apply_address(number, address)
+            self._apply_address(number, address, started.get(number, 0.0))
         for number, actor in self.actors.items():
             if number in unavailable:
                 self._mark_unavailable(actor, unavailable[number], now)
@@ -118,14 +120,21 @@
             states.update({number: ServerState.GONE for number in self.actors if number not in named})
         return states
 
-    def _apply_address(self, number: int, address: tuple[str, int]) -> None:
+    def _apply_address(self, number: int, address: tuple[str, int], started: float) -> None:
+        """Create the actor of a new server, or tell a known one that another process has taken the server's place.
+
+        started: clock ms at which the server's process started; 0: long ago
+        """
         actor = self.actors.get(number)
         if actor is None:
             actor = ServerActor(self.context, number, address)
+            actor.pool.started = started
             self.actors[number] = actor
             self._run_actor(actor)
-        elif actor.pool.address != address:
-            actor.pool.address = address
+        elif actor.pool.address != address or started > actor.pool.started:
+            self.context.counters.increment("servers.replaced")
+            log.info("server-replaced", server=f"{address[0]}:{address[1]}", started=started)
+            actor.pool.replace_server(address, started)
             actor.post(CloseIdle(0.0))
 
     def _mark_unavailable(self, actor: ServerActor, state: ServerState, now: float) -> None:
--- a/starlingthread/net/upstreams/opener.py
+++ b/starlingthread/net/upstreams/opener.py
@@ -78,7 +78,7 @@
         return self._context.deadlines.set(due, lambda: self.post(ConnectTimedOut(exchange, due)))
 
     async def _connect(self, exchange: Exchange) -> None:
-        address = self._pool.address
+        address, generation = self._pool.address, self._pool.generation
         try:
             reader, writer = await open_stream(*address, READ_BYTES)
             limit_read_size(writer, READ_BYTES)
@@ -86,4 +86,4 @@
         except OSError:
             self.post(ConnectCompleted(exchange, None))
         else:
-            self.post(ConnectCompleted(exchange, Connection(reader, writer, address)))
+            self.post(ConnectCompleted(exchange, Connection(reader, writer, address, generation)))
--- a/starlingthread/net/upstreams/pool.py
+++ b/starlingthread/net/upstreams/pool.py
@@ -17,6 +17,10 @@
     def __init__(self, context: UpstreamContext, address: tuple[str, int]) -> None:
         self._context = context
         self.address = address
+        self.started = 0.0  # clock ms at which the server's process started; 0: long ago
+        # Number of the server's process: connections that were opened to an earlier one, which may still answer on them
+        # at the same address, are not reused.
+        self.generation = 0
         self.idle: list[Connection] = []  # idle connections in the order of their last use, the most recent at the end
         self.busy: dict[Exchange, Connection] = {}
         self.streaming: set[Connection] = set()  # connections whose attempt has ended and whose value still arrives
@@ -27,6 +31,12 @@
         """Whether any connection is busy or streaming."""
         return bool(self.busy or self.streaming)
 
+    def replace_server(self, address: tuple[str, int], started: float) -> None:
+        """Open connections to another process from now on: at another address, or started later at the same one."""
+        self.address = address
+        self.started = max(self.started, started)
+        self.generation += 1
+
     def acquire(self, is_write: bool) -> Connection | None:
         """Take an idle connection out of the pool; return None if a new one must be opened.
 
@@ -37,7 +47,7 @@
             index = self._select_idle_index(now)
             connection = self.idle[index]
             excess_rate = self._context.idle_failure_rates.excess_failure_rate(now, now - connection.idle_since)
-            if connection.is_reusable(self.address) and excess_rate < MAX_EXCESS_FAILURE_SHARE_READ:
+            if connection.is_reusable(self.generation) and excess_rate < MAX_EXCESS_FAILURE_SHARE_READ:
                 if is_write and excess_rate > MAX_EXCESS_FAILURE_SHARE_WRITE:
                     return None  # open a new one: a lost write may have been executed, and must not be executed twice
                 return self.idle.pop(index)
@@ -74,7 +84,7 @@
         """Return a connection to the pool, or close it if it can't be reused. No other code returns connections."""
         self._detach(connection)
         self.streaming.discard(connection)
-        if not connection.is_reusable(self.address):
+        if not connection.is_reusable(self.generation):
             self.close_connection(connection)
             return
         connection.idle_since = self._context.clock.now()
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -138,7 +138,7 @@
         harness = ServerActorHarness()
         attempt = harness.attempt()
         if cause == "address changed":
-            harness.actor.pool.address = ("127.0.0.1", 2)
+            harness.actor.pool.replace_server(("127.0.0.1", 2), 0.0)
         else:
             harness.reader.feed_eof()
         assert harness.actor.pool.acquire(False) is None and harness.writer.transport.closed
