Keep only the used fields of a head, and count all that peers make the router hold

Cause: a request counted with its value only. The fields of its head were kept as a dictionary, some 40 KB for a head of 2 KB with 440 short fields; heads, records, incomplete values, unsent commands and incomplete answers were in no budget.

Change: the five fields that are used are kept. Beyond it requests are rejected as before, and an incomplete value is discarded as it arrives and its write rejected, so that no client has to wait for memory.

Class: a bound that held where it was counted, and not on the path beside it.

--- a/starlingthread/core/pipe.py
+++ b/starlingthread/core/pipe.py
@@ -22,23 +22,28 @@
 
 
 class ByteBudget:
-    """The number of bytes that all pipes hold together, which sets the window of each of them.
+    """The number of bytes that several holders have together.
 
-    Together they hold at most the limit, and MIN_READ_BYTES for each pipe beyond it.
+    If the holders are pipes, it sets the window of each of them: together they hold at most the limit, and
+    MIN_READ_BYTES for each pipe beyond it.
     """
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
         self.used = 0
 
+    def is_exceeded(self) -> bool:
+        """Return whether more than the limit is used."""
+        return self.used > self.limit
+
     def window_bytes(self) -> int:
         """Return how many bytes a pipe may hold at present."""
         free_bytes = max(0, self.limit - self.used)
         return min(MAX_WINDOW_BYTES, max(MIN_READ_BYTES, int(free_bytes * FREE_BUDGET_SHARE)))
 
 
-class ReadReservation:
-    """The bytes that are being read from a socket; they count as used in a budget before they arrive."""
+class Reservation:
+    """The bytes of one holder in a budget, for example those that are being read from a socket, before they arrive."""
 
     __slots__ = ("_budget", "_size")
 
@@ -59,7 +64,7 @@
         self._budget = budget
         self._pieces: deque[bytes] = deque()
         self.buffered = 0  # The number of bytes that the consumer has not taken.
-        self._reservation = ReadReservation(budget)  # The bytes that the producer may be reading.
+        self._reservation = Reservation(budget)  # The bytes that the producer may be reading.
         self._taken = 0  # The number of bytes that the consumer has taken and not released.
         self._consumer_waiter: asyncio.Future[None] | None = None  # The consumer waits for a piece or the end.
         self._producer_waiter: asyncio.Future[None] | None = None  # The producer waits until the pipe is not full.
--- a/starlingthread/net/clients/context.py
+++ b/starlingthread/net/clients/context.py
@@ -30,9 +30,9 @@
     counters: Counters
     deadlines: Deadlines
     budget: ByteBudget  # budget shared by all chunked values in both directions
-    buffered_bytes: int  # size of all requests, responses and unprocessed input
+    # All requests, responses and unprocessed input, in both directions; beyond the limit requests are rejected.
+    buffers: ByteBudget
     read_ahead_bytes: int  # size of the input of connections that wait for a response slot
-    max_buffered_bytes: int
     classes: dict[str, RequestClass]  # request classes by name
     open_ids: set[bytes]  # ids of unanswered requests on all connections
     draining: bool  # whether each connection is closed after its response
--- a/starlingthread/net/clients/limits.py
+++ b/starlingthread/net/clients/limits.py
@@ -4,6 +4,8 @@
 READ_BYTES = 16384
 # Commands of one connection that may await their response; further ones are read, but not processed.
 MAX_PIPELINED_COMMANDS = 16
+# Memory of a request beside the bytes of its command: its records in all actors, and its connection to a server.
+REQUEST_OVERHEAD_BYTES = 6144
 # Share of the memory for buffered values that unprocessed commands of all connections may take.
 READ_AHEAD_SHARE = 0.5
 # Share of what is free of it that one connection may take, and its limit in bytes.
--- a/starlingthread/net/clients/listener.py
+++ b/starlingthread/net/clients/listener.py
@@ -58,9 +58,9 @@
         self.counters = router.counters
         self.deadlines = router.deadlines
         self.budget = ByteBudget(0)  # budget shared by all chunked values in both directions
-        self.buffered_bytes = 0  # size of all requests, responses and unprocessed input
         self.read_ahead_bytes = 0  # size of the input of connections that wait for a response slot
-        self.max_buffered_bytes = max_buffered_bytes
+        # All requests, responses and unprocessed input, in both directions; beyond the limit requests are rejected.
+        self.buffers = ByteBudget(max_buffered_bytes)
         self.max_clients = max_clients
         self.idle_client_threshold = idle_client_threshold
         self.is_ready = is_ready
--- a/starlingthread/net/clients/read_ahead.py
+++ b/starlingthread/net/clients/read_ahead.py
@@ -92,7 +92,7 @@
     def _max_ahead_bytes(self) -> int:
         """Return how much this connection may read ahead; many connections get a small part of the memory each."""
         listener = self._listener
-        free_bytes = listener.max_buffered_bytes * READ_AHEAD_SHARE - listener.read_ahead_bytes + self._held_bytes
+        free_bytes = listener.buffers.limit * READ_AHEAD_SHARE - listener.read_ahead_bytes + self._held_bytes
         return min(MAX_READ_AHEAD_BYTES, int(free_bytes * FREE_READ_AHEAD_SHARE))
 
     def _count(self, held_bytes: int, is_ahead: bool) -> None:
@@ -101,7 +101,7 @@
             listener.read_ahead_bytes -= self._held_bytes
         if is_ahead:
             listener.read_ahead_bytes += held_bytes
-        listener.buffered_bytes += held_bytes - self._held_bytes
+        listener.buffers.used += held_bytes - self._held_bytes
         self._held_bytes = held_bytes
         self._is_ahead = is_ahead
 
--- a/starlingthread/net/clients/reader.py
+++ b/starlingthread/net/clients/reader.py
@@ -82,6 +82,9 @@
             return False
         self._update_partial_since()
         self.ahead.account()
+        if self._listener.buffers.is_exceeded():
+            self._parser.discard_value()
+            self.ahead.account()
         return True
 
     def _has_closed(self) -> bool:
--- a/starlingthread/net/clients/requests.py
+++ b/starlingthread/net/clients/requests.py
@@ -11,7 +11,7 @@
 from ...settings import Idempotency, RequestClass
 from .. import meta
 from .context import ConnectionState, ListenerContext
-from .limits import MAX_MALFORMED_COMMANDS, RESPONSE_MARGIN_MS, VALUE_TIMEOUT_MS
+from .limits import MAX_MALFORMED_COMMANDS, REQUEST_OVERHEAD_BYTES, RESPONSE_MARGIN_MS, VALUE_TIMEOUT_MS
 from .responses import ResponseQueue, ResponseSlot
 
 
@@ -122,8 +122,11 @@
         body = Pipe(listener.budget) if command.is_chunked else None
         request = self._create_request(command, request_class, identity, body)
         self.slots_by_request[request] = slot
-        self._responses.reserve(slot, len(command.value or b""))
-        if body is None:
+        self._responses.reserve(slot, REQUEST_OVERHEAD_BYTES + len(command.head) + len(command.value or b""))
+        if command.is_value_discarded:
+            listener.counters.increment("requests.memory_full")
+            listener.router.reject(request)
+        elif body is None:
             self._submit(request)
         else:
             self.incoming = IncomingValue(slot, request, body)
@@ -154,7 +157,7 @@
         )
 
     def _submit(self, request: PendingRequest) -> None:
-        if self._listener.buffered_bytes > self._listener.max_buffered_bytes:
+        if self._listener.buffers.is_exceeded():
             self._listener.counters.increment("requests.memory_full")
             self._listener.router.reject(request)
         else:
--- a/starlingthread/net/clients/responses.py
+++ b/starlingthread/net/clients/responses.py
@@ -57,7 +57,7 @@
 
     def reserve(self, slot: ResponseSlot, size: int) -> None:
         """Set the size in bytes that a slot accounts for."""
-        self._listener.buffered_bytes += size - slot.reserved_bytes
+        self._listener.buffers.used += size - slot.reserved_bytes
         slot.reserved_bytes = size
 
     def put(self, slot: ResponseSlot, *parts: bytes) -> None:
--- a/starlingthread/net/meta/answers.py
+++ b/starlingthread/net/meta/answers.py
@@ -152,6 +152,10 @@
         """Return whether there is input beyond the complete answers: a partial answer or stray bytes."""
         return self._pending is not None or self._chunked_value.is_receiving or self._buffer.unread_bytes() > 0
 
+    def held_bytes(self) -> int:
+        """Return the size of an incomplete answer that is buffered; its value counts as a whole."""
+        return self._buffer.unread_bytes() + (self._pending.length if self._pending is not None else 0)
+
     def feed(self, data: bytes) -> Iterator[ServerAnswer | ValueChunk]:
         """Parse received bytes and yield complete items; after one of the kind OTHER all further input is ignored.
 
--- a/starlingthread/net/meta/commands.py
+++ b/starlingthread/net/meta/commands.py
@@ -23,6 +23,8 @@
 _PLAIN_READ = re.compile(
     rb"mg [!-~]{1,250} v O([!-~]{1,64}) Pc=([!-+\--~]+),d=(\d{1,9}(?:\.\d{1,9})?)(?:,(?![cd]=)[!-+\--~]*)*\r\n"
 )
+# The fields that are used apart from the timeout; others are forwarded and not kept, as a head has room for hundreds.
+_USED_FIELD = re.compile(rb"(?:^|,)(c|h|k|r|size)(?:=([^,]*))?(?=,|$)")
 _TIMEOUT_FIELD = re.compile(rb"(?:^|,)d=(\d{1,9}(?:\.\d{1,9})?)(?=,|$)")
 
 
@@ -34,10 +36,11 @@
     request_id: bytes
     timeout_ms: float
     timeout_span: tuple[int, int]  # start and end of the number of d in the head
-    fields: dict[str, str]  # the P flag's fields: values by name
-    # The value with its CRLF; None for an mg, and for an ms whose value follows in chunks.
+    fields: dict[str, str]  # the values of the P flag's fields that are used, by name
+    # The value with its CRLF; None for an mg, and for an ms whose value follows in chunks or was discarded.
     value: bytes | None
     length: int = -1  # bytes of the value of an ms, without its CRLF; -1 for an mg
+    is_value_discarded: bool = False  # whether there was no memory for the value
 
     @property
     def is_write(self) -> bool:
@@ -94,7 +97,7 @@
     timeouts = list(_TIMEOUT_FIELD.finditer(text))
     if len(timeouts) != 1:
         return client_error("one d is needed")
-    fields = dict(item.partition("=")[::2] for item in text.decode("ascii").split(","))
+    fields = {match[1].decode("ascii"): (match[2] or b"").decode("ascii") for match in _USED_FIELD.finditer(text)}
     timeout = timeouts[0]
     span = (start + timeout.start(1), start + timeout.end(1))
     key = match.group(1) or match.group(2)
@@ -128,7 +131,8 @@
         self._buffer = LineBuffer()
         self._pending: Command | None = None  # the ms whose value is incomplete
         self._chunked_value = ChunkedValue()
-        self._skip_bytes_left = 0  # bytes to skip of the value of a malformed ms, with its CRLF
+        self._skip_bytes_left = 0  # bytes to skip of the value of a malformed or refused ms, with its CRLF
+        self._refused: Command | None = None  # the ms whose value is skipped for lack of memory
         self._framing_lost = False
 
     def has_partial_input(self) -> bool:
@@ -142,7 +146,7 @@
 
     def is_receiving_value(self) -> bool:
         """Return whether the head of an ms has been received, and its value in part."""
-        return self._pending is not None or self._chunked_value.is_receiving
+        return self._pending is not None or self._refused is not None or self._chunked_value.is_receiving
 
     def held_bytes(self) -> int:
         """Return the size of the unprocessed input, in which a value of up to MAX_UNCHUNKED_BYTES counts as a whole."""
@@ -151,6 +155,14 @@
             return unread_bytes
         return len(self._pending.head) + max(unread_bytes, self._pending.length)
 
+    def discard_value(self) -> None:
+        """Discard the incomplete value of a command as it arrives; the command follows without it."""
+        if self._pending is not None:
+            self._refused = self._pending._replace(is_value_discarded=True)
+            self._skip_bytes_left = self._pending.length + len(CRLF)
+            self._pending = None
+            self._skip_bytes_left -= len(self._buffer.read_available(self._skip_bytes_left - len(CRLF)))
+
     def append(self, data: bytes) -> None:
         """Append received bytes to the input, for a later call of :meth:`items`."""
         if not self._framing_lost:
@@ -186,6 +198,9 @@
             error = self._skip_value()
             if error is not None or self._skip_bytes_left:
                 return error
+            if (refused := self._refused) is not None:
+                self._refused = None
+                return refused
         if self._chunked_value.is_receiving:
             return self._next_chunk()
         if self._pending is None:
--- a/starlingthread/net/upstreams/connection.py
+++ b/starlingthread/net/upstreams/connection.py
@@ -7,7 +7,7 @@
 
 from ...core.deadlines import Deadline
 from ...core.messages import Attempt
-from ...core.pipe import ByteBudget, Pipe, ReadReservation
+from ...core.pipe import ByteBudget, Pipe, Reservation
 from .. import meta
 from ..streams import limit_read_size
 
@@ -34,6 +34,7 @@
     """A connection to a cache server, owned by the pool of that server."""
 
     __slots__ = (
+        "_buffered",
         "_first_read",
         "address",
         "answered_at",
@@ -60,7 +61,8 @@
         self.address = address
         self.generation = generation
         self.parser = meta.AnswerParser()
-        self._first_read: ReadReservation | None = None
+        self._first_read: Reservation | None = None
+        self._buffered: Reservation | None = None  # a command that is not sent yet, or an answer that is not complete
         self.exchange: Exchange | None = None
         self.awaiting_response = False  # an exchange was written and its answer is not complete yet
         self.out_of_sync = False  # data arrived that was not requested: answers can't be matched any more
@@ -86,7 +88,7 @@
         """Reserve the first read of an answer, as its value may turn out to be streamed."""
         self.release_first_read()
         read_bytes = min(READ_BYTES, budget.window_bytes())
-        self._first_read = ReadReservation(budget)
+        self._first_read = Reservation(budget)
         self._first_read.set(read_bytes)
         limit_read_size(self.writer, read_bytes)
 
@@ -96,6 +98,21 @@
             self._first_read.set(0)
             self._first_read = None
 
+    def reserve_buffered(self, budget: ByteBudget) -> None:
+        """Reserve what this process holds of the exchange: the unsent part of the command and of the answer so far."""
+        held_bytes = self.writer.transport.get_write_buffer_size() if self.request_body is None else 0
+        held_bytes += self.parser.held_bytes()
+        if held_bytes and self._buffered is None:
+            self._buffered = Reservation(budget)
+        if self._buffered is not None:
+            self._buffered.set(held_bytes)
+
+    def release_buffered(self) -> None:
+        """Return the reserved bytes, as the exchange has ended."""
+        if self._buffered is not None:
+            self._buffered.set(0)
+            self._buffered = None
+
     def limit_next_read(self) -> None:
         """Limit the next read of an answer that has arrived in part; reserve it if the value is streamed."""
         if self.response_pipe is not None:
--- a/starlingthread/net/upstreams/context.py
+++ b/starlingthread/net/upstreams/context.py
@@ -53,5 +53,7 @@
     may_open_connection: Callable[[], bool]
     # The byte budget is shared by all streamed values.
     value_budget: ByteBudget = field(default_factory=lambda: ByteBudget(0))
+    # What is buffered completely, shared with the client connections.
+    buffers: ByteBudget = field(default_factory=lambda: ByteBudget(0))
     idle_failure_rates: IdleFailureRates = field(default_factory=IdleFailureRates)
     in_maintenance: set[int] = field(default_factory=set)  # numbers of the servers in maintenance
--- a/starlingthread/net/upstreams/fleet.py
+++ b/starlingthread/net/upstreams/fleet.py
@@ -46,9 +46,10 @@
         """Apply changed settings; idle_timeout is the servers' idle limit in milliseconds."""
         self.context.settings = UpstreamSettings.create(settings, idle_timeout)
 
-    def set_value_budget(self, budget: ByteBudget) -> None:
-        """Set the budget for streamed values, which is shared with the client connections."""
+    def set_value_budget(self, budget: ByteBudget, buffers: ByteBudget) -> None:
+        """Set the budgets for streamed values and for all else, which are shared with the client connections."""
         self.context.value_budget = budget
+        self.context.buffers = buffers
 
     def set_maintenance(self, server: int, in_maintenance: bool) -> None:
         """Put a server into maintenance, in which no new exchange is written to it, or end its maintenance."""
--- a/starlingthread/net/upstreams/pool.py
+++ b/starlingthread/net/upstreams/pool.py
@@ -97,6 +97,7 @@
         connection.closed = True
         self._context.deadlines.clear(connection.read_timer)
         connection.release_first_read()
+        connection.release_buffered()
         if connection.response_pipe is not None:
             connection.response_pipe.finish(False)
         if connection.request_body is not None:
@@ -121,6 +122,7 @@
             self.close_connection(connection)
 
     def _detach(self, connection: Connection) -> None:
+        connection.release_buffered()
         if connection.exchange is not None:
             self.busy.pop(connection.exchange, None)
             connection.exchange = None
--- a/starlingthread/net/upstreams/reader.py
+++ b/starlingthread/net/upstreams/reader.py
@@ -62,6 +62,8 @@
             if connection.out_of_sync:
                 break
         is_partial = connection.parser.has_partial_input()
+        if is_partial:
+            connection.reserve_buffered(self._context.buffers)
         if is_partial and not connection.awaiting_response:
             connection.out_of_sync = True
         if connection.out_of_sync:
--- a/starlingthread/net/upstreams/writer.py
+++ b/starlingthread/net/upstreams/writer.py
@@ -42,6 +42,8 @@
         connection.writer.writelines(meta.forward_command(command, timeout))
         if body is None:
             self._context.router.telemetry.backend_calls += 1
+            if connection.writer.transport.get_write_buffer_size():
+                connection.reserve_buffered(self._context.buffers)
             return
         connection.request_body = body
         coroutine = self._stream_body(connection, body)
--- a/starlingthread/router_process/actors.py
+++ b/starlingthread/router_process/actors.py
@@ -35,7 +35,7 @@
         self.members = MembershipActor(self.router, self.peers, router_index)
         self.failover = FailoverActor(self.router, self.peers, self.members, router_index)
         self.clients = ClientListener(settings, self.router, supervisor, 0, 0, 0, self.has_endpoints)
-        self.fleet.set_value_budget(self.clients.budget)
+        self.fleet.set_value_budget(self.clients.budget, self.clients.buffers)
         self.router.fleet = self.fleet
         self.router.discovery = self.discovery
         self.router.peers = self.peers
@@ -47,7 +47,7 @@
     def apply_budgets(self, budgets: ResourceBudgets) -> None:
         """Set the limits on connections and buffered values."""
         self.clients.apply_limits(budgets.max_clients, budgets.idle_client_threshold)
-        self.clients.max_buffered_bytes = budgets.buffered_values
+        self.clients.buffers.limit = budgets.buffered_values
         self.clients.budget.limit = budgets.streamed_values
         self.fleet.set_connection_limit(budgets.server_connections)
 
@@ -86,7 +86,7 @@
             "clients.unsent_bytes": self.clients.unsent_bytes(),
             "requests.open": len(self.router.requests),
             "connections.open": sum(server.pool.open_count for server in self.fleet.actors.values()),
-            "values.buffered_bytes": self.clients.buffered_bytes,
+            "values.buffered_bytes": self.clients.buffers.used,
             "values.streamed_bytes": self.clients.budget.used,
         }
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -121,7 +121,7 @@
         await script(harness)
         await harness.settle()
         await harness.supervisor.stop()
-        assert harness.listener.buffered_bytes == 0
+        assert harness.listener.buffers.used == 0
         return bytes(harness.writer.transport.sent)
 
     return asyncio.run(run())
--- a/tests/test_repeated_requests.py
+++ b/tests/test_repeated_requests.py
@@ -110,7 +110,7 @@
         async with running_router(tmp_path) as harness:
             await write_and_leave(harness, ONCE)
             if cause == "memory":
-                harness.program.actors.clients.max_buffered_bytes = -1
+                harness.program.actors.clients.buffers.limit = -1
             elif cause == "mailbox":
                 harness.router.mailbox.limit = 0
             else:
--- a/tests/test_unread_clients.py
+++ b/tests/test_unread_clients.py
@@ -30,7 +30,7 @@
     As many attempts are in flight as the router allows for one client, and the rest of the commands is unread or in the
     client's send buffer.
     """
-    harness.program.actors.clients.max_buffered_bytes = 1 << 24  # else it depends on the size of the test process
+    harness.program.actors.clients.buffers.limit = 1 << 24  # else it depends on the size of the test process
     listening = harness.program.actors.clients.socket
     assert listening is not None
     listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
@@ -95,7 +95,7 @@
         async with running_router(tmp_path, servers=1) as harness:
             _, servers = await pipeline_and_wait(harness)
             clients = harness.program.actors.clients
-            clients.max_buffered_bytes = 0
+            clients.buffers.limit = 0
             harness.router.clock._base += limits.MAX_UNSEEN_MS + 1.0
             for server in servers:
                 await server.send(b"SERVER_ERROR busy\r\n")
