Count the time for which a large value is left unread against its request's deadline

Cause: while the server reads nothing the client is not read, so the end of its command is not known, and the request had 30 s from the last piece that was read. Once the end was read, its time-out started anew.

Change: net/clients/value_arrival.py keeps since when the last byte may be waiting unread: from the first pause on, moved up while the client is seen to be sending (the receive window is open and bytes are missing, or bytes arrive while none is read). After the request's time-out the attempt ends, the rest of the value is discarded and the request is answered at its end. The time-out of a value that was read completely counts from that time as well.

Class: a time limit that started when the router looked, and not when the client's wait began.

--- a/starlingthread/core/attempts.py
+++ b/starlingthread/core/attempts.py
@@ -86,6 +86,12 @@
                 attempt.idle_time_at_start = self._core_load.idle_time()
                 self._set_deadline(attempt, request.deadline)
 
+    def time_out(self, request: PendingRequest) -> None:
+        """Time out a request's pending attempts at its deadline, whatever is still received of its value."""
+        for attempt in self.by_request.get(request.id, ()):
+            if attempt.pending:
+                self._set_deadline(attempt, request.deadline)
+
     def _set_deadline(self, attempt: Attempt, deadline: float) -> None:
         self._deadlines.clear(attempt.timeout_timer)
         attempt.deadline = deadline
--- a/starlingthread/core/messages.py
+++ b/starlingthread/core/messages.py
@@ -113,6 +113,12 @@
     deadline: float
 
 
+class DeadlinePassed(NamedTuple):
+    """Message: the deadline of a request whose streamed value is being received has passed, as we left it unread."""
+
+    request: PendingRequest
+
+
 class ClientDisconnected(NamedTuple):
     """Message: the client of a request has disconnected."""
 
@@ -140,6 +146,7 @@
 Message: TypeAlias = (
     RequestReceived
     | BodyReceived
+    | DeadlinePassed
     | ClientDisconnected
     | AttemptEnded
     | EndpointsReceived
--- a/starlingthread/core/router.py
+++ b/starlingthread/core/router.py
@@ -47,6 +47,7 @@
     AttemptEnded,
     BodyReceived,
     ClientDisconnected,
+    DeadlinePassed,
     EndpointsReceived,
     Failed,
     Message,
@@ -133,6 +134,8 @@
                 self.attempts.on_ended(message)
             case BodyReceived():
                 self._on_body(message.request, message.deadline)
+            case DeadlinePassed():
+                self._on_deadline_passed(message.request)
             case ClientDisconnected():
                 self._on_disconnected(message.request)
             case EndpointsReceived():
@@ -260,6 +263,14 @@
         self._set_request_deadline(request)
         self.attempts.on_body_received(request, now)
 
+    def _on_deadline_passed(self, request: PendingRequest) -> None:
+        """Time out the attempts of a request now, although its last byte has not been received."""
+        if request.finished:
+            return
+        request.deadline = self.clock.now()
+        self._set_request_deadline(request)
+        self.attempts.time_out(request)
+
     def _on_overdue(self, request: PendingRequest) -> None:
         """Fail a request that the decision module has not answered in time."""
         if request.finished:
--- a/starlingthread/net/clients/connection.py
+++ b/starlingthread/net/clients/connection.py
@@ -32,7 +32,7 @@
         self.writer = writer
         self.state = ConnectionState(listener.clock.now())
         self.responses = ResponseQueue(listener)
-        self.requests = ClientRequests(listener, self.state, self.responses)
+        self.requests = ClientRequests(listener, self.state, self.responses, writer)
         self._command_reader = ClientReader(
             listener, self.state, self.requests, self.responses, reader, writer, self.on_disconnect
         )
--- a/starlingthread/net/clients/reader.py
+++ b/starlingthread/net/clients/reader.py
@@ -5,13 +5,12 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-from ...core.pipe import Pipe
 from .. import meta
 from ..streams import PEER_CLOSED_EVENTS, has_poll_event, paused_reading
 from .context import ConnectionState, ListenerContext
 from .limits import READ_BYTES
 from .read_ahead import ReadAhead
-from .requests import ClientRequests
+from .requests import ClientRequests, IncomingValue
 from .responses import ResponseQueue
 
 
@@ -70,6 +69,7 @@
             incoming = self._requests.incoming
             if incoming is not None:
                 incoming.pipe.reserve_read(READ_BYTES)
+                incoming.arrival.update(self._unprocessed_bytes())
 
     async def _read(self) -> bool:
         """Read and process the next bytes; return whether to continue to read. No copy of the bytes is kept."""
@@ -98,7 +98,7 @@
                 self._requests.accept_chunk(item)
                 incoming = self._requests.incoming
                 if incoming is not None and incoming.pipe.is_full():
-                    await self._wait_for_pipe(incoming.pipe)
+                    await self._wait_for_pipe(incoming)
                 continue
             if self._responses.is_full() and not await self._wait_for_slot():
                 return False
@@ -130,6 +130,10 @@
             self.processed_bytes += len(data)
             self.ahead.take(data)
 
+    def _unprocessed_bytes(self) -> int:
+        """Return how many bytes this process has received and not processed."""
+        return self.stream_bytes - self.processed_bytes + self._parser.unread_bytes()
+
     def _update_partial_since(self) -> None:
         """Record since when a command is partial; a value that arrives slowly counts from its last bytes."""
         if not self._parser.has_partial_input():
@@ -137,12 +141,13 @@
         elif self._state.partial_since is None or self._parser.is_receiving_value():
             self._state.partial_since = self._listener.clock.now()
 
-    async def _wait_for_pipe(self, pipe: Pipe) -> None:
+    async def _wait_for_pipe(self, incoming: IncomingValue) -> None:
         """Wait until the pipe of the incoming value accepts more data."""
         self._listener.watch_for_disconnect(self)
         self.ahead.pause()
+        incoming.arrival.on_paused()
         with paused_reading(self._writer):
-            await pipe.wait_until_not_full()
+            await incoming.pipe.wait_until_not_full()
         self._state.partial_since = self._listener.clock.now()
 
     def check_for_disconnect(self) -> bool:
@@ -152,4 +157,6 @@
             return False
         if not transport.is_reading():  # type: ignore[attr-defined]
             self.ahead.look_for_disconnect()
+            if self._requests.incoming is not None:
+                self._requests.incoming.arrival.update(self._unprocessed_bytes())
         return not self._state.disconnected and (self._responses.is_full() or self._requests.incoming is not None)
--- a/starlingthread/net/clients/requests.py
+++ b/starlingthread/net/clients/requests.py
@@ -2,17 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 from collections.abc import Callable
 from typing import NamedTuple
 
-from ...core.messages import Answer, BodyReceived, ClientDisconnected, PendingRequest, Rejected, Served
+from ...core.messages import Answer, BodyReceived, ClientDisconnected, DeadlinePassed, PendingRequest, Rejected, Served
 from ...core.pipe import Pipe
 from ...settings import Idempotency, RequestClass
 from .. import meta
 from .context import ConnectionState, ListenerContext
 from .limits import MAX_MALFORMED_COMMANDS, REQUEST_OVERHEAD_BYTES, RESPONSE_MARGIN_MS, VALUE_TIMEOUT_MS
 from .responses import ResponseQueue, ResponseSlot
+from .value_arrival import ValueArrival
 
 
 def key_hash(key: bytes) -> int:
@@ -40,6 +42,7 @@
     slot: ResponseSlot
     request: PendingRequest
     pipe: Pipe
+    arrival: ValueArrival
 
 
 class ClientRequests:
@@ -49,16 +52,24 @@
         "_listener",
         "_responses",
         "_state",
+        "_writer",
         "incoming",
         "is_end_visible",
         "slots_by_request",
         "unsubmitted",
     )
 
-    def __init__(self, listener: ListenerContext, state: ConnectionState, responses: ResponseQueue) -> None:
+    def __init__(
+        self,
+        listener: ListenerContext,
+        state: ConnectionState,
+        responses: ResponseQueue,
+        writer: asyncio.StreamWriter,
+    ) -> None:
         self._listener = listener
         self._state = state
         self._responses = responses
+        self._writer = writer
         self.slots_by_request: dict[PendingRequest, ResponseSlot] = {}
         self.incoming: IncomingValue | None = None
         self.unsubmitted: PendingRequest | None = None  # the incoming request until enough of its value has arrived
@@ -129,7 +140,7 @@
         elif body is None:
             self._submit(request)
         else:
-            self.incoming = IncomingValue(slot, request, body)
+            self.incoming = IncomingValue(slot, request, body, self._create_arrival(command, request))
             self.unsubmitted = request
 
     def _create_request(
@@ -156,6 +167,19 @@
             identity=identity,
         )
 
+    def _create_arrival(self, command: meta.Command, request: PendingRequest) -> ValueArrival:
+        listener = self._listener
+        timeout = min(command.timeout_ms, request.request_class.deadline) - RESPONSE_MARGIN_MS
+        length = command.length + len(meta.CRLF)
+        return ValueArrival(
+            listener.clock, listener.deadlines, self._writer, length, timeout, lambda: self._on_value_overdue(request)
+        )
+
+    def _on_value_overdue(self, request: PendingRequest) -> None:
+        """Fail a request whose time-out may have passed while its client was not read; it is answered at its end."""
+        self._listener.counters.increment("clients.value_overdue")
+        self._listener.router.mailbox.force_put(DeadlinePassed(request))
+
     def _submit(self, request: PendingRequest) -> None:
         if self._listener.buffers.is_exceeded():
             self._listener.counters.increment("requests.memory_full")
@@ -186,6 +210,7 @@
         if self.incoming is None:
             return
         pipe = self.incoming.pipe
+        self.incoming.arrival.on_read(len(chunk.data))
         pipe.put(chunk.data)
         self.incoming.request.deadline = self._listener.clock.now() + VALUE_TIMEOUT_MS - RESPONSE_MARGIN_MS
         if self.unsubmitted is not None and (pipe.buffered > meta.MAX_UNCHUNKED_BYTES or pipe.is_full() or chunk.last):
@@ -196,26 +221,30 @@
             self._complete_incoming_value(self.incoming)
 
     def _complete_incoming_value(self, incoming: IncomingValue) -> None:
-        slot, request, pipe = incoming
+        slot, request, pipe, arrival = incoming
         pipe.finish(True)
         self.incoming = None
         self._state.partial_since = None
         now = self._listener.clock.now()
+        received_at = now if arrival.unread_since is None else arrival.unread_since
+        arrival.close()
         self._state.last_used_at = now
-        request.received_at = now
+        request.received_at = received_at
         if slot.deferred_answer is not None:
             self._respond(slot, slot.deferred_answer)
         elif not request.finished and isinstance(request.payload, meta.Command):
             timeout = min(
-                request.payload.timeout_ms, request.request_class.deadline, self._listener.answer_deadline - now
+                request.payload.timeout_ms, request.request_class.deadline, self._listener.answer_deadline - received_at
             )
-            self._listener.router.mailbox.force_put(BodyReceived(request, now + timeout - RESPONSE_MARGIN_MS))
+            deadline = received_at + timeout - RESPONSE_MARGIN_MS
+            self._listener.router.mailbox.force_put(BodyReceived(request, deadline))
 
     def _fail_incoming_value(self, malformed: meta.MalformedCommand) -> None:
         """Cancel the request whose value will not be completed, and answer it as malformed."""
         assert self.incoming is not None
-        slot, request, pipe = self.incoming
+        slot, request, pipe, arrival = self.incoming
         self.incoming = None
+        arrival.close()
         pipe.finish(False)
         self._cancel(request)
         self._respond_malformed(slot, malformed)
@@ -258,6 +287,7 @@
         self.cancel_all()
         self._responses.clear()
         if self.incoming is not None:
+            self.incoming.arrival.close()
             self.incoming.pipe.finish(False)
             self.incoming = None
 
--- a/starlingthread/net/meta/__init__.py
+++ b/starlingthread/net/meta/__init__.py
@@ -18,9 +18,10 @@
     forward_command,
     parse_plain_read,
 )
-from .responses import ERROR_LINE, FAILED_LINE, READY_LINE, STARTING_LINE, busy_line
+from .responses import CRLF, ERROR_LINE, FAILED_LINE, READY_LINE, STARTING_LINE, busy_line
 
 __all__ = [
+    "CRLF",
     "ERROR_LINE",
     "FAILED_LINE",
     "MAX_HEAD_BYTES",
--- a/starlingthread/net/meta/commands.py
+++ b/starlingthread/net/meta/commands.py
@@ -148,6 +148,10 @@
         """Return whether the head of an ms has been received, and its value in part."""
         return self._pending is not None or self._refused is not None or self._chunked_value.is_receiving
 
+    def unread_bytes(self) -> int:
+        """Return how many received bytes are not processed."""
+        return self._buffer.unread_bytes()
+
     def held_bytes(self) -> int:
         """Return the size of the unprocessed input, in which a value of up to MAX_UNCHUNKED_BYTES counts as a whole."""
         unread_bytes = self._buffer.unread_bytes()
