Count a client as unseen until its socket was read to the end, and reject its commands at once

Change: once reading was paused, only a read that empties the socket, or an open receive window, shows the client; its commands are rejected before the decision module while it is unseen (counter requests.client_unseen).

--- a/starlingthread/net/clients/read_ahead.py
+++ b/starlingthread/net/clients/read_ahead.py
@@ -14,7 +14,7 @@
 from .. import meta
 from ..streams import PEER_CLOSED_EVENTS, has_open_window, has_poll_event, pause_reading, resume_reading
 from .context import ConnectionState, ListenerContext
-from .limits import FREE_READ_AHEAD_SHARE, MAX_READ_AHEAD_BYTES, MAX_UNSEEN_MS, READ_AHEAD_SHARE
+from .limits import FREE_READ_AHEAD_SHARE, MAX_READ_AHEAD_BYTES, MAX_UNSEEN_MS, READ_AHEAD_SHARE, READ_BYTES
 
 
 class ReadAhead:
@@ -22,13 +22,14 @@
 
     __slots__ = (
         "_held_bytes",
+        "_hidden_since",
         "_is_active",
         "_is_ahead",
+        "_is_behind",
         "_is_paused",
         "_listener",
         "_on_disconnect",
         "_parser",
-        "_seen_at",
         "_state",
         "_writer",
     )
@@ -50,7 +51,8 @@
         self._is_ahead = False  # whether the held bytes count in the listener's read-ahead
         self._is_paused = False  # whether reading is paused for lack of memory
         self._held_bytes = 0  # bytes that the parser holds or has made room for
-        self._seen_at = listener.clock.now()  # clock time at which the client had certainly not closed
+        self._is_behind = False  # whether the client may have sent, and closed, since reading was paused
+        self._hidden_since = 0.0  # clock time from which on a close may not have been seen, while this is behind
 
     # bytes
 
@@ -71,7 +73,8 @@
 
     def take(self, data: bytes) -> bool:
         """Handle received bytes; return False if the stream's reader must get them."""
-        self._seen_at = self._listener.clock.now()
+        if len(data) < READ_BYTES:
+            self._is_behind = False  # all that the operating system had was read, so that the client can send more
         if not self._is_active:
             return False
         self._parser.append(data)
@@ -115,20 +118,21 @@
 
     def pause(self) -> None:
         """Leave further bytes in the operating system; the client's end may be hidden behind them from now on."""
-        if self._writer.transport.is_reading():  # type: ignore[attr-defined]
-            self._seen_at = self._listener.clock.now()
-            pause_reading(self._writer)
+        if not self._is_behind:
+            self._is_behind = True
+            self._hidden_since = self._listener.clock.now()
+        pause_reading(self._writer)
 
     def look_for_disconnect(self) -> None:
         """Handle the client's end if the operating system has received it, although the socket is not read."""
         if has_poll_event(self._writer, PEER_CLOSED_EVENTS):
             self._on_disconnect()
         elif has_open_window(self._writer):
-            self._seen_at = self._listener.clock.now()
+            self._hidden_since = self._listener.clock.now()
 
     def is_end_visible(self) -> bool:
         """Return whether the client's end would have been seen if it closed more than MAX_UNSEEN_MS ago."""
-        if self._writer.transport.is_reading():  # type: ignore[attr-defined]
+        if not self._is_behind:
             return True
         self.look_for_disconnect()
-        return not self._state.disconnected and self._listener.clock.now() - self._seen_at <= MAX_UNSEEN_MS
+        return not self._state.disconnected and self._listener.clock.now() - self._hidden_since <= MAX_UNSEEN_MS
--- a/starlingthread/net/clients/requests.py
+++ b/starlingthread/net/clients/requests.py
@@ -184,6 +184,9 @@
         if self._listener.buffers.is_exceeded():
             self._listener.counters.increment("requests.memory_full")
             self._listener.router.reject(request)
+        elif not self.is_end_visible():
+            self._listener.counters.increment("requests.client_unseen")
+            self._listener.router.reject(request)
         else:
             self._listener.router.submit(request)
 
