Take no time-out of a request that had hardly any time for a fault of its server

Cause: a request with d=5 has 1 ms at its server. Its time-out counted as a failure of the server, three of them eject it, and soon all servers were ejected for all clients. Admission had nothing to do with it: the longest queue for the core was 1.6 ms.

Change: a time-out after less than the expected service time, or a tenth of the class's latency objective, changes no estimate, limit or ejection. What remains is that the flood takes what the core has left.

Class: what one client chooses (its deadline) taken as evidence about something that all share.

--- a/starlingthread/policy/outcomes.py
+++ b/starlingthread/policy/outcomes.py
@@ -13,6 +13,8 @@
 
 FAILURES = frozenset((AttemptResult.CONNECT_FAILED, AttemptResult.RESET, AttemptResult.ERROR, AttemptResult.TIMEOUT))
 SUCCESSES = frozenset((AttemptResult.OK, AttemptResult.MISS))
+# A time-out after less than this share of the latency objective shows only that the client waits for a short time.
+MIN_TIMEOUT_SHARE = 0.1
 
 
 class OutcomeLearning:
@@ -28,6 +30,9 @@
     def learn(self, now: float, state: RequestState, server: Server, event: Outcome, attempt: AttemptRecord) -> None:
         """Learn from the outcome of an attempt that was in flight at a server."""
         self.load.on_load_report(now, server, event.load_report)
+        if self._is_client_too_hasty(state, event, attempt):
+            self.load.origin_limit.on_finished(attempt.fetch_probability)
+            return
         fetch_failed = self._update_server_estimates(now, state, server, event, attempt)
         if server is self.fleet.origin:
             self.load.origin_throttle.on_outcome(now, event.result, event.response_time)
@@ -37,6 +42,15 @@
         if state.is_loss_sample:
             self.hedge_budget.on_outcome(event.result, state.hit_probability)
 
+    @staticmethod
+    def _is_client_too_hasty(state: RequestState, event: Outcome, attempt: AttemptRecord) -> bool:
+        """Return whether an attempt timed out so early that this is no evidence about its server.
+
+        Otherwise a client whose requests have hardly any time would have all servers ejected for all clients.
+        """
+        shortest_time = max(attempt.expected_time, MIN_TIMEOUT_SHARE * state.request_class.latency_objective)
+        return event.result == AttemptResult.TIMEOUT and event.response_time < shortest_time
+
     def _update_server_estimates(
         self, now: float, state: RequestState, server: Server, event: Outcome, attempt: AttemptRecord
     ) -> bool:
