Play greedy clients and servers that read slowly or are replaced in the soak

Change: fault kinds greedy-clients (pipelines that leave, heads of short fields, half and whole large values, floods of hasty reads, ids that come again after their client left) and slow-reads (a limit on what a server reads). The judge has three more checks: nothing is sent for a greedy client over 100 ms after its close, an id that comes again runs once, a large write is answered within d + 0.5 s. Seeds draw them, and replacements, from a stream of their own, so that their other faults stay as they are. Ids of greedy clients count as known only up to the number that was sent.

--- a/starlingthread/analysis/evidence.py
+++ b/starlingthread/analysis/evidence.py
@@ -66,6 +66,11 @@
         """Return the class of an attempt's request."""
         return self.scenario.traffic.classes[attempt.class_index]
 
+    def is_of_greedy_client(self, request_id: str) -> bool:
+        """Return whether a greedy client has sent a request, which is no operation."""
+        prefix, _, number = request_id.rpartition("-")
+        return number.isdigit() and int(number) <= self.ledger.greedy_request_counts.get(prefix, 0)
+
     def deliveries_of(self, attempt: ClientAttempt) -> list[Delivery]:
         """Return the deliveries of an attempt's request to servers, in the order of their arrival."""
         return self.deliveries.get(attempt.request_id, [])
--- a/starlingthread/analysis/rules/answers.py
+++ b/starlingthread/analysis/rules/answers.py
@@ -96,7 +96,7 @@
 def check_unknown(run: RunEvidence) -> Iterator[Violation]:
     """Servers get only requests that clients sent, and clients only answers that are valid in the protocol."""
     for request_id, deliveries in run.deliveries.items():
-        if request_id not in run.attempts:
+        if request_id not in run.attempts and not run.is_of_greedy_client(request_id):
             first = deliveries[0]
             text = f"server {first.server} received a request that no client sent"
             yield violation(run, Rule.UNKNOWN_REQUEST, request_id, NO_ROUTER, first.first_at, text)
--- a/starlingthread/emulator/cache_server.py
+++ b/starlingthread/emulator/cache_server.py
@@ -52,6 +52,7 @@
         self.is_listening = False
         self.is_unreachable = False
         self.is_frozen = False
+        self.read_bytes_per_s = 0.0  # limit on what is read of each connection; 0: none
         self._deferred_input: list[_DeferredInput] = []
         self._deferred_output: list[_DeferredOutput] = []
         model.on_overload_crash = self.crash_by_overload
--- a/starlingthread/emulator/fault_kinds.py
+++ b/starlingthread/emulator/fault_kinds.py
@@ -9,6 +9,7 @@
     DisconnectingClients,
     DiscoveryOutage,
     DiscoveryPartition,
+    GreedyClients,
     IdleClients,
     KilledRouters,
     PeerPartition,
@@ -66,4 +67,6 @@
     "silent-watches": SilentWatches(),
     "discovery-slow": SlowDiscovery(),
     "idle-clients": IdleClients(),
+    "greedy-clients": GreedyClients(),
+    "slow-reads": ServerAttribute("read_bytes_per_s", normal_value=0.0),
 }
--- a/starlingthread/emulator/platform_faults.py
+++ b/starlingthread/emulator/platform_faults.py
@@ -97,6 +97,14 @@
         await injected.testbed.call_clients("idle_clients", int(fault.strength), fault.length_s)
 
 
+class GreedyClients(FaultAction):
+    """Clients that make routers hold or start as much as they can, and leave or wait."""
+
+    async def begin(self, injected: InjectedFault) -> None:
+        fault = injected.fault
+        await injected.testbed.call_clients("greedy_clients", fault.strength, fault.length_s)
+
+
 class DisconnectingClients(FaultAction):
     """Clients that close the connection before the answer, for a share of the requests."""
 
--- a/starlingthread/emulator/server_connection.py
+++ b/starlingthread/emulator/server_connection.py
@@ -29,6 +29,8 @@
 
 MAX_LINE_BYTES = 4096
 MAX_VALUE_BYTES = 1 << 20
+# Longest pause between two reads of a server that reads slowly, after which it counts as stopped.
+MAX_READ_PAUSE_MS = 4000.0
 _LINE_END = b"\r\n"
 # Value of SO_LINGER with which closing a socket resets its connection.
 _ZERO_LINGER = struct.pack("ii", 1, 0)
@@ -76,6 +78,7 @@
     malformed_commands: int
     is_unreachable: bool
     is_frozen: bool
+    read_bytes_per_s: float
 
     def defer_input(self, connection: ServerConnection, data: bytes) -> None:
         """Hold bytes that arrive at a frozen server until it resumes."""
@@ -130,8 +133,17 @@
         return False
 
     def data_received(self, data: bytes) -> None:
-        """Pass received bytes through the emulated link."""
+        """Pass received bytes through the emulated link, and read no more until the server's pace allows it."""
         self.inbound.push(data)
+        if self.server.read_bytes_per_s > 0 and not self.is_dead:
+            self.transport.pause_reading()
+            delay_ms = min(MAX_READ_PAUSE_MS, 1000.0 * len(data) / self.server.read_bytes_per_s)
+            self.server.scheduler.after(delay_ms, self._resume_reading)
+
+    def _resume_reading(self) -> None:
+        if not self.is_dead and not self.transport.is_closing():
+            with contextlib.suppress(RuntimeError):
+                self.transport.resume_reading()
 
     # commands
 
--- a/starlingthread/experiment/records.py
+++ b/starlingthread/experiment/records.py
@@ -37,6 +37,14 @@
     checksum: int = 0  # CRC-32 of the value or receipt that the server generated for this command
 
 
+class GreedyRequest(msgspec.Struct, array_like=True):
+    """A request of a greedy client, and the time of what the rules are about: its departure, or its last byte."""
+
+    request_id: str
+    router: int
+    at: float
+
+
 class StatusNotification(msgspec.Struct, array_like=True):
     """A notification from discovery to a router about a server's status."""
 
@@ -153,6 +161,11 @@
     # Number of connections of bad clients, by outcome.
     bad_client_outcomes: dict[str, int] = msgspec.field(default_factory=dict)
 
+    greedy_request_counts: dict[str, int] = msgspec.field(default_factory=dict)  # by the first part of their ids
+    departures: list[GreedyRequest] = msgspec.field(default_factory=list)  # requests whose clients have left
+    repeated: list[GreedyRequest] = msgspec.field(default_factory=list)  # requests whose ids came again
+    late_writes: list[GreedyRequest] = msgspec.field(default_factory=list)  # large writes without an answer in time
+
     def merge(self, part: Ledger) -> None:
         """Add the records of another process."""
         self.deliveries += part.deliveries
@@ -164,6 +177,10 @@
         self.router_events += part.router_events
         self.server_samples += part.server_samples
         self.faults += part.faults
+        self.greedy_request_counts.update(part.greedy_request_counts)
+        self.departures += part.departures
+        self.repeated += part.repeated
+        self.late_writes += part.late_writes
         self.lags.update(part.lags)
         for name, count in part.bad_client_outcomes.items():
             self.bad_client_outcomes[name] = self.bad_client_outcomes.get(name, 0) + count
--- a/starlingthread/experiment/scenario.py
+++ b/starlingthread/experiment/scenario.py
@@ -51,6 +51,8 @@
     "silent-watches",
     "discovery-slow",
     "idle-clients",
+    "greedy-clients",
+    "slow-reads",
 ]
 
 # How a router chooses servers: by a baseline policy of baselines/policies.py, or in its own way if empty.
--- a/starlingthread/experiment/soak.py
+++ b/starlingthread/experiment/soak.py
@@ -18,6 +18,10 @@
 ROUTER_COMMAND = ("/bin/sh", "-c", f"trap '' HUP USR1; exec {sys.executable} -m starlingthread")
 # Idle connections as a share of a router's descriptors: more than clients may hold.
 IDLE_CONNECTION_SHARE = 0.6
+# Shares of the seeds with each kind of fault of the peers.
+GREEDY_CLIENTS_SHARE = 0.7
+SLOW_READS_SHARE = 0.5
+REPLACEMENT_SHARE = 0.5
 RESTARTING_KINDS = frozenset(("restart-router", "signals-router", "kill-router"))
 
 
@@ -52,6 +56,7 @@
         self._add_discovery_faults()
         self._add_server_faults()
         self._add_client_faults()
+        self._add_peer_faults()
         return Scenario(
             name="soak",
             length_s=self._length_s,
@@ -124,6 +129,22 @@
                 "idle-clients", self._random_start_s(), rng.uniform(1.5, 4.0), IDLE_CONNECTION_SHARE * self._descriptors
             )
 
+    def _add_peer_faults(self) -> None:
+        """Add greedy clients, and servers that read slowly or are replaced; drawn apart, so that other faults stay."""
+        rng = Random(f"{self._seed} peers")
+        if rng.random() < GREEDY_CLIENTS_SHARE:
+            self._add_fault("greedy-clients", self._random_start(rng), rng.uniform(1.0, 4.0), rng.uniform(4.0, 40.0))
+        if rng.random() < SLOW_READS_SHARE:
+            rate = 10.0 ** rng.uniform(3.5, 6.0)
+            self._add_fault("slow-reads", self._random_start(rng), rng.uniform(1.0, 4.0), rate, server_share=0.5)
+        if rng.random() < REPLACEMENT_SHARE and self._available_servers:
+            replaced = (self._available_servers.pop(),)
+            self._add_fault("replace", self._random_start(rng), 0.0, rng.uniform(0.0, 300.0), servers=replaced)
+
+    def _random_start(self, rng: Random) -> float:
+        latest_s = max(EARLIEST_FAULT_S, self._length_s - FAULT_FREE_END_S - MIN_DRAIN_S)
+        return rng.uniform(EARLIEST_FAULT_S, latest_s)
+
     def _add_outage(self, kind: FaultKind, start_s: float, length_s: float) -> None:
         """Add a temporary outage of a server, if one is still available for it."""
         if self._available_servers:
--- a/starlingthread/experiment/validation.py
+++ b/starlingthread/experiment/validation.py
@@ -59,6 +59,8 @@
     "link-broken": StrengthRange(0.0, 1.0, "share of answers during which the connection closes"),
     "discovery-slow": StrengthRange(0.0, 60000.0, "ms by which a call takes longer"),
     "idle-clients": StrengthRange(1.0, 4000.0, "connections to each router"),
+    "greedy-clients": StrengthRange(0.0, 500.0, "connections a second"),
+    "slow-reads": StrengthRange(0.0, 1e9, "bytes a second that a server reads of each connection, 0 for no limit"),
     "replace": StrengthRange(0.0, 60000.0, "ms until the new server answers at the same address"),
 }
 
--- a/starlingthread/load/generator.py
+++ b/starlingthread/load/generator.py
@@ -6,16 +6,18 @@
 
 import numpy as np
 
-from ..experiment.randomness import UniformDraws
+from ..experiment.randomness import UniformDraws, random_streams
 from ..experiment.records import Ledger, Operation
 from ..experiment.scenario import Scenario
 from .bad_clients import BadClients
 from .frontend import FrontendBalancer
+from .greedy_clients import GreedyClients
 from .idle_clients import IdleClients
 from .operations import OperationRunner, PendingOperation, now_ms
 from .traffic import Arrivals
 
 SCHEDULE_POLL_PERIOD_S = 0.001  # interval between checks for operations that are due
+GREEDY_SEED_OFFSET = 70_000  # keeps the draws of greedy clients apart from those of the traffic
 CONNECT_BATCH_SIZE = 50  # number of connections opened concurrently before the run
 
 
@@ -40,6 +42,8 @@
         self.runner = OperationRunner(scenario, routers, self.frontend, random_draws, ledger, self._on_operation_ended)
         self.bad_clients = BadClients(self.frontend, self.runner.pool, random_draws)
         self.idle_clients = IdleClients(routers, random_draws)
+        greedy_draws = UniformDraws(random_streams(scenario.seed + GREEDY_SEED_OFFSET, worker + 1)[worker])
+        self.greedy_clients = GreedyClients(scenario, worker, routers, greedy_draws, ledger)
         self.done = asyncio.Event()
         self._scenario = scenario
         self._worker = worker
@@ -81,6 +85,7 @@
         self.runner.stop()
         self.bad_clients.stop()
         self.idle_clients.stop()
+        self.greedy_clients.stop()
 
     @property
     def _is_exhausted(self) -> bool:
--- a/starlingthread/testbed/client_worker.py
+++ b/starlingthread/testbed/client_worker.py
@@ -32,6 +32,7 @@
             "leave": self.set_disconnect_share,
             "bad_clients": self.start_bad_clients,
             "idle_clients": self.start_idle_clients,
+            "greedy_clients": self.start_greedy_clients,
         }
 
     async def set_up(self, scenario: dict[str, Any], routers: list[tuple[str, int]]) -> None:
@@ -68,9 +69,15 @@
         processes = self.scenario.machine.load_processes
         self.load_generator.idle_clients.start(-(-connections // processes), duration_s)
 
+    async def start_greedy_clients(self, connections_per_s: float, duration_s: float) -> None:
+        """Start this process's share of greedy clients, which together open connections at a rate."""
+        processes = self.scenario.machine.load_processes
+        self.load_generator.greedy_clients.start(connections_per_s / processes, duration_s)
+
     async def collect(self) -> bytes:
         """Stop the clients and return the encoded ledger."""
-        self.ledger.bad_client_outcomes = dict(self.load_generator.bad_clients.outcomes)
+        outcomes = self.load_generator.bad_clients.outcomes + self.load_generator.greedy_clients.outcomes
+        self.ledger.bad_client_outcomes = dict(outcomes)
         if self.load_generator.runner.out_of_connections_count:
             self.ledger.bad_client_outcomes["out-of-connections"] = self.load_generator.runner.out_of_connections_count
         self.load_generator.stop()
--- a/starlingthread/testbed/server_worker.py
+++ b/starlingthread/testbed/server_worker.py
@@ -38,6 +38,7 @@
     "become_reachable": CacheServer.become_reachable,
 }
 _MODEL_ATTRIBUTES = frozenset({"slowdown", "tail_factor", "tail_share", "extra_report_delay_ms"})
+_SERVER_ATTRIBUTES = frozenset({"read_bytes_per_s"})
 _ANSWER_FAULT_ATTRIBUTES = frozenset({"reset_rate", "truncation_rate", "corruption_rate"})
 
 
@@ -188,6 +189,8 @@
         server = self.servers[number]
         if name in _MODEL_ATTRIBUTES:
             setattr(server.model, name, value)
+        elif name in _SERVER_ATTRIBUTES:
+            setattr(server, name, value)
         elif name in _ANSWER_FAULT_ATTRIBUTES:
             setattr(server.answer_faults, name, value)
         else:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -127,6 +127,8 @@
     "silent-watches": [("silence watches",)],
     "discovery-slow": [("delay discovery", 2.0), ("delay discovery", 0.0)],
     "idle-clients": [("idle_clients", 2, 0.001)],
+    "greedy-clients": [("greedy_clients", 2.0, 0.001)],
+    "slow-reads": [("read_bytes_per_s", 2.0), ("read_bytes_per_s", 0.0)],
     "peers-cut": [("partition peers", 1, True), ("partition peers", 1, False)],
 }
 
--- a/tests/test_judge_rules.py
+++ b/tests/test_judge_rules.py
@@ -15,6 +15,7 @@
     ClientAttempt,
     Delivery,
     FaultRecord,
+    GreedyRequest,
     Ledger,
     Operation,
     RouterEvent,
@@ -145,3 +146,34 @@
     if delivered:
         ledger.deliveries = [Delivery("a", 3, sent_at, sent_at, EXECUTED, DISCONNECTED, 6000.0)]
     assert ("lost" not in judge(scenario, ledger).counts) == excused
+
+
+GREEDY_ID = "greedy-0-1"
+
+
+@pytest.mark.parametrize(("delivered_ms", "is_broken"), [(150.0, False), (900.0, True)])
+def test_nothing_is_sent_for_a_greedy_client_that_has_left(delivered_ms: float, is_broken: bool) -> None:
+    scenario, ledger = _scenario_and_ledger()
+    ledger.greedy_request_counts = {"greedy-0": 1}
+    ledger.departures = [GreedyRequest(GREEDY_ID, 0, 200.0)]
+    ledger.deliveries = [Delivery(GREEDY_ID, 3, delivered_ms, delivered_ms)]
+    assert ("lost" in judge(scenario, ledger).counts) == is_broken
+    assert "unknown-request" not in judge(scenario, ledger).counts
+
+
+def test_an_id_that_comes_again_runs_once_unless_its_router_ended() -> None:
+    scenario, ledger = _scenario_and_ledger()
+    ledger.greedy_request_counts = {"greedy-0": 1}
+    ledger.repeated = [GreedyRequest(GREEDY_ID, 0, 300.0)]
+    ledger.deliveries = [Delivery(GREEDY_ID, server, at, at, EXECUTED) for server, at in ((3, 110.0), (4, 200.0))]
+    assert "once-ran-twice" in judge(scenario, ledger).counts
+    ledger.router_events = [RouterEvent(0, "killed", 150.0), RouterEvent(0, "up", 160.0)]
+    assert "once-ran-twice" not in judge(scenario, ledger).counts
+
+
+def test_a_large_write_without_an_answer_in_time_is_lost() -> None:
+    scenario, ledger = _scenario_and_ledger()
+    ledger.late_writes = [GreedyRequest(GREEDY_ID, 0, 300.0)]
+    assert "lost" in judge(scenario, ledger).counts
+    ledger.router_events = [RouterEvent(0, "killed", 350.0)]
+    assert "lost" not in judge(scenario, ledger).counts
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -39,6 +39,7 @@
     kinds_by_seed = [{fault.kind for fault in generate_scenario(seed, 14.0).faults} for seed in range(200)]
     assert len({frozenset(kinds) for kinds in kinds_by_seed}) > 100
     expected = {"shrink", "kill-router", "silent-watches", "discovery-down", "discovery-slow", "link-cut", "silent"}
+    expected |= {"greedy-clients", "slow-reads", "replace"}
     expected |= {"idle-clients", "garbage-clients", "half-commands", "reset", "restart-router", "leaving-clients"}
     assert expected <= set.union(*({str(kind) for kind in kinds} for kinds in kinds_by_seed))
 
