--- a/starlingthread/core/router.py
+++ b/starlingthread/core/router.py
@@ -208,8 +208,12 @@
     def fail_all(self) -> None:
         """Answer every open request as failed, before this process exits."""
         for request in list(self.requests.values()):
-            self._table.finish(request, Failed())
-            self._decide(RequestCancelled(request.id))
+            self.fail(request)
+
+    def fail(self, request: PendingRequest) -> None:
+        """Answer an open request as failed."""
+        self._table.finish(request, Failed())
+        self._decide(RequestCancelled(request.id))
 
     def _on_request(self, request: PendingRequest) -> None:
         # The client may have disconnected while the message was in the mailbox.
--- a/starlingthread/net/clients/listener.py
+++ b/starlingthread/net/clients/listener.py
@@ -172,6 +172,13 @@
 
     # graceful shutdown
 
+    def _fail_blocking_requests(self) -> None:
+        """Fail the open requests of connections on which other responses wait behind them, so that those are sent."""
+        for actor in list(self.connections):
+            if len(actor.responses.slots) > 1:
+                for request in list(actor.requests.slots_by_request):
+                    self.router.fail(request)
+
     async def drain(self, answer_deadline: float = math.inf) -> None:
         """Stop accepting, close each connection once its responses are written, and return when all are closed.
 
@@ -179,6 +186,8 @@
         response
         """
         self.answer_deadline = answer_deadline
+        if math.isfinite(answer_deadline):
+            self.deadlines.set(answer_deadline, self._fail_blocking_requests)
         if self._accept_loop is not None:
             await self._accept_loop.accept_queued()
         self._stop_accepting()
