--- a/starlingthread/net/upstreams/actor.py
+++ b/starlingthread/net/upstreams/actor.py
@@ -222,7 +222,8 @@
         self, connection: Connection, check: PendingHealthCheck, answer: meta.ServerAnswer
     ) -> None:
         if answer.load:
-            check.load.update(answer.load)
+            fields = self._context.settings.load_report_fields
+            check.load.update((name, value) for name, value in answer.load.items() if name in fields)
         if answer.kind == meta.AnswerKind.STAT:
             return  # more lines of this load report will arrive
         is_healthy = answer.kind in (meta.AnswerKind.END, meta.AnswerKind.READY)
--- a/tests/test_memory_limit_process.py
+++ b/tests/test_memory_limit_process.py
@@ -12,6 +12,7 @@
 from starlingthread.net.clients.limits import REQUEST_OVERHEAD_BYTES
 from starlingthread.net.meta import CommandParser
 from starlingthread.net.upstreams import messages
+from starlingthread.net.upstreams.connection import PendingHealthCheck
 
 from .fakes import ClientHarness, ServerActorHarness, run_client_script
 from .memory_plays import KINDS, play
@@ -79,3 +80,13 @@
     assert buffers.used == 300 + 9000
     harness.receive(b"v" * 8900 + b"\r\n")
     assert buffers.used == 0
+
+
+def test_a_health_check_keeps_only_the_fields_of_the_settings() -> None:
+    """Guards against a server that reports ever new names and never ends its report."""
+    harness = ServerActorHarness()
+    check = PendingHealthCheck(harness.router_harness.clock.now())
+    harness.writer.write = harness.writer.transport.sent.extend  # type: ignore[attr-defined]
+    harness.deliver(messages.StartExchange(check))
+    harness.receive(b"".join(b"STAT name%d 1\r\n" % number for number in range(500)) + b"STAT util 0.5\r\n")
+    assert check.load == {"util": 0.5}
