--- a/tests/flood_plays.py
+++ b/tests/flood_plays.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from .peers import Listener, entry, free_port
+from .peers import Listener, entry, free_port, until_serving
 
 SERVERS = 9
 CLIENTS = 10
@@ -146,19 +146,6 @@
     writer.transport.abort()
 
 
-async def _wait_until_ready(port: int) -> None:
-    async with asyncio.timeout(20.0):
-        while True:
-            with contextlib.suppress(OSError):
-                reader, writer = await asyncio.open_connection("127.0.0.1", port)
-                writer.write(b"mn\r\n")
-                answer = await reader.readline()
-                writer.transport.abort()
-                if answer == b"MN\r\n":
-                    return
-            await asyncio.sleep(0.02)
-
-
 async def play_flood(folder: Path, kind: str, seconds: float) -> FloodResult:
     """Play a flood of a kind beside steady clients."""
     discovery = Listener()
@@ -193,7 +180,7 @@
         )
     flooding: asyncio.subprocess.Process | None = None
     try:
-        await _wait_until_ready(port)
+        await until_serving(port)
         result = FloodResult(Counter(), [], 0)
         flooding = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "tests.flood_plays", str(port), str(seconds), kind, stdout=asyncio.subprocess.PIPE
--- a/tests/memory_plays.py
+++ b/tests/memory_plays.py
@@ -13,7 +13,7 @@
 
 import psutil
 
-from .peers import CLASSES, Listener, entry, free_port
+from .peers import CLASSES, Listener, entry, free_port, until_serving
 
 SERVERS = 9
 SOCKETS = 1024
@@ -69,7 +69,7 @@
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "starlingthread", stderr=log, env={**os.environ, "LB_CONFIG": str(path)}
             )
-        await self._wait_until_ready()
+        await until_serving(self._port)
         self._tasks.append(asyncio.create_task(self._sample()))
 
     def _config(self, discovery: str, entries: list[dict[str, Any]]) -> dict[str, Any]:
@@ -90,18 +90,6 @@
             },
         }
 
-    async def _wait_until_ready(self) -> None:
-        async with asyncio.timeout(20.0):
-            while True:
-                with contextlib.suppress(OSError):
-                    reader, writer = await asyncio.open_connection("127.0.0.1", self._port)
-                    writer.write(b"mn\r\n")
-                    answer = await reader.readline()
-                    writer.transport.abort()
-                    if answer == b"MN\r\n":
-                        return
-                await asyncio.sleep(0.02)
-
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, hangs: bool) -> None:
         """Answer each read with a value, or read nothing after the first command."""
         try:
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import json
 import socket
@@ -116,6 +117,20 @@
         return int(probe.getsockname()[1])
 
 
+async def until_serving(port: int) -> None:
+    """Wait until a router process answers at a port that it is ready."""
+    async with asyncio.timeout(WAIT_TIMEOUT_S):
+        while True:
+            with contextlib.suppress(OSError):
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.write(b"mn\r\n")
+                answer = await reader.readline()
+                writer.transport.abort()
+                if answer == b"MN\r\n":
+                    return
+            await asyncio.sleep(0.02)
+
+
 async def until(condition: Callable[[], bool]) -> None:
     """Run the event loop until a condition holds."""
     async with asyncio.timeout(WAIT_TIMEOUT_S):
