--- a/starlingthread/core/router.py
+++ b/starlingthread/core/router.py
@@ -221,7 +221,8 @@
             return
         now = self.clock.now()
         self._table.add(request)
-        self._log_repeated(request)
+        if request.identity:
+            self._log_repeated(request)
         class_index = self._class_indexes.get(request.request_class.name)
         if request.deadline <= now or class_index is None:
             # The deadline has passed, or a reload has removed the class: a request with a streamed value is submitted
--- a/starlingthread/net/clients/read_ahead.py
+++ b/starlingthread/net/clients/read_ahead.py
@@ -73,7 +73,7 @@
 
     def take(self, data: bytes) -> bool:
         """Handle received bytes; return False if the stream's reader must get them."""
-        if len(data) < READ_BYTES:
+        if self._is_behind and len(data) < READ_BYTES:
             self._is_behind = False  # all that the operating system had was read, so that the client can send more
         if not self._is_active:
             return False
@@ -83,7 +83,9 @@
 
     def account(self) -> None:
         """Count what the parser holds, and read no more ahead if there is no memory for it."""
-        self._count(self._parser.held_bytes(), self._is_active)
+        held_bytes = self._parser.held_bytes()
+        if held_bytes or self._held_bytes:
+            self._count(held_bytes, self._is_active)
         if not self._is_active:
             return
         if self._held_bytes < self._max_ahead_bytes():
--- a/starlingthread/net/clients/requests.py
+++ b/starlingthread/net/clients/requests.py
@@ -120,9 +120,8 @@
             self._respond_malformed(slot, meta.client_error("id in use"))
             return
         identity = request_identity(command, request_class)
-        is_admitted = (
-            self._state.is_next_command_admitted or command.is_chunked or listener.router.may_have_run(identity)
-        )
+        is_admitted = self._state.is_next_command_admitted or command.is_chunked
+        is_admitted = is_admitted or (identity != 0 and listener.router.may_have_run(identity))
         self._state.is_next_command_admitted = False
         if not is_admitted and (
             rejection := listener.router.core_load.shed(self._state.last_used_at, request_class, command.timeout_ms)
--- a/starlingthread/net/meta/commands.py
+++ b/starlingthread/net/meta/commands.py
@@ -179,14 +179,13 @@
         self._pending = None
 
     def feed(self, data: bytes) -> Iterator[ParsedInput]:
-        """Parse received bytes and yield complete items; once framing is lost all further input is ignored."""
+        """Return the complete items of received bytes; once framing is lost all further input is ignored."""
         if self._framing_lost:
-            return
+            return iter(())
         if (chunk := self._chunked_value.take_whole(data, self._buffer)) is not None:
-            yield chunk
-            return
+            return iter((chunk,))
         self._buffer.append(data)
-        yield from self.items()
+        return self.items()
 
     def items(self) -> Iterator[ParsedInput]:
         """Yield the complete items of the input. Bytes may be appended between two items."""
--- a/starlingthread/policy/outcomes.py
+++ b/starlingthread/policy/outcomes.py
@@ -48,8 +48,10 @@
 
         Otherwise a client whose requests have hardly any time would have all servers ejected for all clients.
         """
+        if event.result != AttemptResult.TIMEOUT:
+            return False
         shortest_time = max(attempt.expected_time, MIN_TIMEOUT_SHARE * state.request_class.latency_objective)
-        return event.result == AttemptResult.TIMEOUT and event.response_time < shortest_time
+        return event.response_time < shortest_time
 
     def _update_server_estimates(
         self, now: float, state: RequestState, server: Server, event: Outcome, attempt: AttemptRecord
--- a/starlingthread/state/executions.py
+++ b/starlingthread/state/executions.py
@@ -10,8 +10,8 @@
 from typing import NamedTuple, Protocol
 
 # Maximum number of identities whose attempts are known, and of older ones, of which only the identity is kept.
-MAX_RECENT = 20000
-MAX_PAST = 50000
+MAX_RECENT = 10000
+MAX_PAST = 30000
 # Request id of an attempt that another process of this router made, or that is no longer known.
 OTHER_REQUEST = 0
 
@@ -53,16 +53,20 @@
 
     def may_have_run(self, identity: int) -> bool:
         """Return whether an earlier request of an identity may have been executed."""
-        return bool(self._recent.get(identity)) or identity in self._past
+        return identity != 0 and (bool(self._recent.get(identity)) or identity in self._past)
 
     def open(self, identity: int) -> list[PossibleExecution]:
         """Return the possible executions of a request that has arrived, which change as attempts start and end."""
+        if not identity:
+            return []
         if identity in self._past:
             return [PAST_EXECUTION]
-        return self._recent.setdefault(identity, []) if identity else []
+        return self._recent.setdefault(identity, [])
 
     def close(self, now: float, identity: int, retention: float) -> None:
         """Forget a request that has ended if it was never executed, and the details of those older than retention."""
+        if not identity:
+            return
         if not self._recent.get(identity, True):
             del self._recent[identity]
         while self._recent:
