--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -13,7 +13,9 @@
 
 from __future__ import annotations
 
+import gc
 import re
+from collections.abc import Generator
 from typing import NamedTuple
 
 import pytest
@@ -104,6 +106,20 @@
             raise pytest.UsageError(f"{FILE_NAME}: there is no test {entry.test}")
 
 
+@pytest.hookimpl(wrapper=True, tryfirst=True)
+def pytest_runtest_makereport(
+    item: pytest.Item, call: pytest.CallInfo[None]
+) -> Generator[None, pytest.TestReport, pytest.TestReport]:
+    """Collect garbage before a failure is formatted.
+
+    CPython 3.11.6 raises "AST constructor recursion depth mismatch", which ends the run, if a stream of a closed event
+    loop is collected while pytest parses the source of the failed test: its warning is formatted by another parse.
+    """
+    if call.excinfo is not None:
+        gc.collect()
+    return (yield)
+
+
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter, config: pytest.Config) -> None:
     """Print the entries of the file."""
     for entry in read_entries(config):
