--- a/tests/test_many_clients_past_capacity.py
+++ b/tests/test_many_clients_past_capacity.py
@@ -26,6 +26,7 @@
 
 from .peers import WAIT_TIMEOUT_S, Peer, RunningRouter, read_command, running_router, value_answer
 
+MEMORY_MB = 1024  # beyond the size of any test process, on which the budgets depend
 REQUEST_TIMEOUT_MS = 2000.0  # field 'd' of the requests that must be answered in time
 SOCKET_MARGIN_MS = 50.0  # added to each time limit, as answers travel over sockets
 CONNECT_TIMEOUT_S = 0.1  # a new connection must be established within this time once a slot is free
@@ -175,7 +176,7 @@
     """
 
     async def run(selector: SocketCountingSelector, tmp_path: Path, sockets: int, **parameters: Any) -> None:
-        async with running_router(tmp_path, limits__sockets=sockets) as harness:
+        async with running_router(tmp_path, limits__sockets=sockets, limits__memory_mb=MEMORY_MB) as harness:
             clients = ManyClients(harness)
             await asyncio.start_server(clients.serve, sock=harness.server.socket)
             selector.listener = clients.listener
