Keep the class of requests that were received before a reload, read or not

A waiting request of a class that became stricter or laxer was handled by the new effect. Cause: a request got its class when it left the parser (at most 16 of a connection at a time), not when its last byte arrived. Change: at a reload each connection records up to which position of its input the replaced classes apply, with what the system's receive buffer holds (net/clients/class_history.py). Behind a shut receive window, and on connections from the accept queue, either may apply and the stricter does. The decision module gets the class itself; it keeps a removed server while an attempt is out. Why it works: the position is fixed by the bytes that had arrived, so neither the parser's pace nor later reloads change the class; what arrives later gets the new classes and their errors.

--- a/starlingthread/core/messages.py
+++ b/starlingthread/core/messages.py
@@ -74,6 +74,8 @@
     finished: bool = False  # The request was answered, or its client has disconnected.
     # The client has disconnected, and ClientDisconnected is in the mailbox: no further attempt may start.
     cancelled: bool = False
+    # The request was received before a reload, and keeps its class although the reload may have changed or removed it.
+    keeps_class: bool = False
     attempts_started: int = 0
     attempts_in_flight: int = 0
     deadline_timer: Deadline | None = None
--- a/starlingthread/core/router.py
+++ b/starlingthread/core/router.py
@@ -24,6 +24,7 @@
     WatchEndpoints,
 )
 from ..events import (
+    REMOVED_CLASS_INDEX,
     EndpointListKind,
     Event,
     Outcome,
@@ -224,7 +225,7 @@
         if request.identity:
             self._log_repeated(request)
         class_index = self._class_indexes.get(request.request_class.name)
-        if request.deadline <= now or class_index is None:
+        if request.deadline <= now or (class_index is None and not request.keeps_class):
             # The deadline has passed, or a reload has removed the class: a request with a streamed value is submitted
             # some time after its head was read.
             self._table.finish(request, Failed())
@@ -233,7 +234,7 @@
         budget = min(request.deadline - now, request.request_class.deadline)
         event = Request(
             request.id,
-            class_index,
+            REMOVED_CLASS_INDEX if class_index is None else class_index,
             budget,
             request.key,
             cost_hint=request.cost_hint,
@@ -243,6 +244,7 @@
             is_write=request.is_write,
             queue_time=self.core_load.queue_time(now - request.received_at, budget / request.request_class.deadline),
             identity=request.identity,
+            request_class=request.request_class if request.keeps_class else None,
         )
         self._decide(event, now)
 
--- a/starlingthread/events.py
+++ b/starlingthread/events.py
@@ -5,7 +5,9 @@
 from enum import IntEnum
 from typing import NamedTuple, TypeAlias
 
-from .settings import Settings
+from .settings import RequestClass, Settings
+
+REMOVED_CLASS_INDEX = -1  # the index of a class that the settings do not have any more
 
 
 class ServerState(IntEnum):
@@ -89,6 +91,7 @@
     queue_time: float = 0.0  # ms that the request was queued for this router's own CPU core
     # What tells whether the request has come before, as it must not run twice; 0: it may run any number of times.
     identity: int = 0
+    request_class: RequestClass | None = None  # the class before a reload, which the request keeps; None: by index
 
 
 class Outcome(NamedTuple):
--- a/starlingthread/limits/service_times.py
+++ b/starlingthread/limits/service_times.py
@@ -29,11 +29,16 @@
 
     def apply_classes(self, classes: Sequence[RequestClass]) -> None:
         """Replace the classes; a class keeps the service time that was learned under its name."""
-        initial_estimates = {c.name: ServiceTime(c.latency_objective * INITIAL_ESTIMATE_SHARE) for c in classes}
+        initial_estimates = {c.name: _initial_estimate(c) for c in classes}
         learned = {name: self[name] for name in initial_estimates if name in self}
         self.clear()
         self.update(initial_estimates | learned)
 
+    def expected_time(self, request_class: RequestClass, hint: float) -> float:
+        """Return the expected service time of a request; the initial estimate if its class was removed."""
+        service_time = self.get(request_class.name) or _initial_estimate(request_class)
+        return service_time.expected_time(hint)
+
     def observe(self, class_name: str, hint: float, elapsed: float) -> None:
         """Record the hint and the response time of a request; classes that no longer exist are ignored."""
         service_time = self.get(class_name)
@@ -67,3 +72,7 @@
         if service_time is None:
             return expected
         return max(expected, service_time.expected_time(hint) / speed) if service_time.is_learned else elapsed
+
+
+def _initial_estimate(request_class: RequestClass) -> ServiceTime:
+    return ServiceTime(request_class.latency_objective * INITIAL_ESTIMATE_SHARE)
--- a/starlingthread/net/clients/accept_loop.py
+++ b/starlingthread/net/clients/accept_loop.py
@@ -96,6 +96,12 @@
         if self._queue.is_shut:
             self.limit_queue()
 
+    def has_queued(self) -> bool:
+        """Return whether connections are queued."""
+        queued = select.poll()
+        queued.register(self._listening, select.POLLIN)
+        return bool(queued.poll(0))
+
     # capacity
 
     def _has_capacity(self) -> bool:
@@ -155,11 +161,9 @@
         """
         self._is_draining = True
         self.limit_queue()
-        queued = select.poll()
-        queued.register(self._listening, select.POLLIN)
         empty_rounds = 0
         for _ in range(MAX_FINAL_ACCEPT_ROUNDS):
-            empty_rounds = 0 if queued.poll(0) else empty_rounds + 1
+            empty_rounds = 0 if self.has_queued() else empty_rounds + 1
             if empty_rounds > EMPTY_ACCEPT_ROUNDS:
                 return
             self._acceptor.resume()
--- a/starlingthread/net/clients/connection.py
+++ b/starlingthread/net/clients/connection.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
+from .class_history import RequestClasses
 from .closing import has_nothing_unread, linger
 from .context import ConnectionState, ListenerContext
 from .idle import EvictionRank, eviction_rank
@@ -104,7 +105,15 @@
 
     def consume(self, data: bytes) -> bool:
         """Handle data just received; return False if the stream's reader must get them."""
-        return self._command_reader.ahead.take(data) or self._early_rejector.consume(data)
+        return self._command_reader.take_ahead(data) or self._early_rejector.consume(data)
+
+    def on_classes_replaced(self, classes: RequestClasses) -> None:
+        """Keep the request classes that a reload has just replaced for what the client has sent so far."""
+        self._command_reader.on_classes_replaced(classes)
+
+    def on_accepted_late(self, classes: RequestClasses) -> None:
+        """Keep replaced request classes for what has arrived, as the connection may be older than the reload."""
+        self._command_reader.on_accepted_late(classes)
 
     def on_disconnect(self) -> None:
         """Cancel all requests at once, as the client has closed, whatever the reader and writer are waiting for."""
--- a/starlingthread/net/clients/listener.py
+++ b/starlingthread/net/clients/listener.py
@@ -11,12 +11,13 @@
 from ...core.pipe import ByteBudget
 from ...core.router import Router
 from ...core.task_supervisor import TaskSupervisor
-from ...settings import Settings
+from ...settings import RequestClass, Settings
 from ..streams import DisconnectAwareProtocol, disable_nagle, drain_completely, limit_read_size
 from .accept_loop import AcceptLoop
 from .accept_queue import MAX_BACKLOG
 from .acceptor import SocketCounts
 from .capacity import ConnectionCapacity
+from .class_history import RequestClasses
 from .connection import ClientConnectionActor
 from .context import PausedConnection
 from .limits import DISCONNECT_CHECK_INTERVAL_MS, READ_BYTES
@@ -64,7 +65,8 @@
         self.max_clients = max_clients
         self.idle_client_threshold = idle_client_threshold
         self.is_ready = is_ready
-        self.apply_settings(settings)
+        self.classes: dict[str, RequestClass] = {}  # request classes by name
+        self._classes_of_queued: list[RequestClasses] = []  # replaced since connections were accepted that are queued
         self.open_ids: set[bytes] = set()  # ids of unanswered requests on all connections
         self.connections: set[ClientConnectionActor] = set()
         # While draining, each connection is closed after its response, as another process accepts new connections.
@@ -75,6 +77,7 @@
         self._is_socket_shared = False  # whether the process that it was inherited from uses it too
         self._accept_loop: AcceptLoop | None = None  # None while another process accepts
         self.sockets = SocketCounts()
+        self.apply_settings(settings)
         self.capacity = ConnectionCapacity(self)
         self._paused: set[PausedConnection] = set()  # connections that are polled for disconnects
 
@@ -86,8 +89,20 @@
             self._accept_loop.limit_queue()
 
     def apply_settings(self, settings: Settings) -> None:
-        """Apply the initial or reloaded settings."""
+        """Apply the initial or reloaded settings; what clients have sent by now keeps its request classes."""
+        replaced = self.classes
         self.classes = {cls.name: cls for cls in settings.classes}
+        if replaced == self.classes:
+            return
+        for actor in self.connections:
+            actor.on_classes_replaced(replaced)
+        if self._has_queued_connections():
+            self._classes_of_queued.append(replaced)
+
+    def _has_queued_connections(self) -> bool:
+        """Return whether clients are connected that have no actor yet."""
+        is_queued = self._accept_loop is not None and self._accept_loop.has_queued()
+        return is_queued or self.sockets.initializing > 0
 
     # accepting
 
@@ -132,12 +147,19 @@
             self, reader, writer, self.capacity.on_closed, self.capacity.on_eviction_cancelled
         )
         self.connections.add(actor)
+        self._keep_classes_of_queued(actor)
         protocol = writer.transport.get_protocol()
         if isinstance(protocol, DisconnectAwareProtocol):
             protocol.on_disconnect = actor.on_disconnect
             protocol.consume = actor.consume
         self.supervisor.start(actor.run(), "client", lambda _: actor.close())
 
+    def _keep_classes_of_queued(self, actor: ClientConnectionActor) -> None:
+        for classes in self._classes_of_queued:
+            actor.on_accepted_late(classes)
+        if self._classes_of_queued and not self._has_queued_connections():
+            self._classes_of_queued.clear()
+
     def unsent_bytes(self) -> int:
         """Return how many bytes of responses the operating system has not taken yet."""
         return sum(actor.writer.transport.get_write_buffer_size() for actor in self.connections)
--- a/starlingthread/net/clients/reader.py
+++ b/starlingthread/net/clients/reader.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable, Iterable
 
 from .. import meta
-from ..streams import PEER_CLOSED_EVENTS, has_poll_event, paused_reading
+from ..streams import PEER_CLOSED_EVENTS, has_open_window, has_poll_event, paused_reading, unread_bytes
+from .class_history import MAX_PEER_SEND_BUFFER_BYTES, RequestClasses
 from .context import ConnectionState, ListenerContext
 from .limits import READ_BYTES
 from .read_ahead import ReadAhead
@@ -27,6 +28,7 @@
         "_stream",
         "_writer",
         "ahead",
+        "ahead_bytes",
         "processed_bytes",
         "stream_bytes",
     )
@@ -50,8 +52,46 @@
         self._on_disconnect = on_disconnect
         self._parser = meta.CommandParser()
         self.ahead = ReadAhead(listener, state, self._parser, writer, on_disconnect)
+        self.ahead_bytes = 0  # bytes that were read ahead, which went to the parser at once
         self.stream_bytes = 0  # bytes received for the stream, and bytes read from it
         self.processed_bytes = 0
+        requests.input = self
+
+    def position(self) -> int:
+        """Return the position in the client's input up to which it was parsed."""
+        return self.ahead_bytes + self.processed_bytes - self._parser.unread_bytes()
+
+    def received_end(self) -> int:
+        """Return the position up to which the input was received, by this process or by the operating system."""
+        return self.position() + self._unprocessed_bytes() + (unread_bytes(self._writer) or 0)
+
+    def take_ahead(self, data: bytes) -> bool:
+        """Handle data just received while commands wait; return False if the stream's reader must get them."""
+        if not self.ahead.take(data):
+            return False
+        self.ahead_bytes += len(data)
+        return True
+
+    @property
+    def has_current_classes(self) -> bool:
+        """Whether the current request classes apply to all further input."""
+        return self._requests.class_history.is_empty
+
+    def on_classes_replaced(self, classes: RequestClasses) -> None:
+        """Keep the replaced request classes for what was sent before now; call this before any later byte is read."""
+        position, certain_end = self.position(), self.received_end()
+        possible_end = certain_end if has_open_window(self._writer) else certain_end + MAX_PEER_SEND_BUFFER_BYTES
+        if possible_end > position:
+            self._requests.class_history.add(classes, certain_end, possible_end)
+        self._requests.keep_class_of_incoming(position + self._parser.missing_value_bytes() <= certain_end)
+
+    def on_accepted_late(self, classes: RequestClasses) -> None:
+        """Let replaced request classes apply to what has arrived, as the client may have sent it before the reload."""
+        possible_end = self.received_end()
+        if not has_open_window(self._writer):
+            possible_end += MAX_PEER_SEND_BUFFER_BYTES
+        if possible_end:
+            self._requests.class_history.add(classes, 0, possible_end)
 
     async def run(self) -> None:
         """Read commands until the client closes; once framing is lost, discard what it sends."""
--- a/starlingthread/net/clients/requests.py
+++ b/starlingthread/net/clients/requests.py
@@ -5,12 +5,14 @@
 import asyncio
 import hashlib
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from ...core.messages import Answer, BodyReceived, ClientDisconnected, DeadlinePassed, PendingRequest, Rejected, Served
 from ...core.pipe import Pipe
 from ...settings import Idempotency, RequestClass
 from .. import meta
+from ..streams import has_open_window
+from .class_history import ClassHistory
 from .context import ConnectionState, ListenerContext
 from .limits import MAX_MALFORMED_COMMANDS, REQUEST_OVERHEAD_BYTES, RESPONSE_MARGIN_MS, VALUE_TIMEOUT_MS
 from .responses import ResponseQueue, ResponseSlot
@@ -36,6 +38,16 @@
     return key_hash(b"k" + idempotency_key.encode() if idempotency_key else b"O" + command.request_id)
 
 
+class ClientInput(Protocol):
+    """The input of a client connection, in which bytes are counted from the first one."""
+
+    def position(self) -> int:
+        """Return the position after the command that is being handled."""
+
+    def received_end(self) -> int:
+        """Return the position up to which the input was received, by this process or by the operating system."""
+
+
 class IncomingValue(NamedTuple):
     """A request whose value is being received in chunks."""
 
@@ -53,7 +65,9 @@
         "_responses",
         "_state",
         "_writer",
+        "class_history",
         "incoming",
+        "input",
         "is_end_visible",
         "slots_by_request",
         "unsubmitted",
@@ -74,6 +88,8 @@
         self.incoming: IncomingValue | None = None
         self.unsubmitted: PendingRequest | None = None  # the incoming request until enough of its value has arrived
 
+        self.class_history = ClassHistory()
+        self.input: ClientInput  # set by the reader of the connection
         # Returns whether the client's end would have been seen by now if the client had closed.
         self.is_end_visible: Callable[[], bool] = lambda: True
 
@@ -109,7 +125,7 @@
 
     def _accept_command(self, slot: ResponseSlot, command: meta.Command) -> None:
         listener = self._listener
-        request_class = listener.classes.get(command.fields.get("c", ""))
+        request_class = self._find_class(command)
         if request_class is None:
             listener.counters.increment("clients.unknown_class")
             self._respond_malformed(slot, meta.client_error("unknown class"))
@@ -131,6 +147,7 @@
         listener.open_ids.add(command.request_id)
         body = Pipe(listener.budget) if command.is_chunked else None
         request = self._create_request(command, request_class, identity, body)
+        request.keeps_class = not self.class_history.is_empty
         self.slots_by_request[request] = slot
         self._responses.reserve(slot, REQUEST_OVERHEAD_BYTES + len(command.head) + len(command.value or b""))
         if command.is_value_discarded:
@@ -142,6 +159,27 @@
             self.incoming = IncomingValue(slot, request, body, self._create_arrival(command, request))
             self.unsubmitted = request
 
+    def _find_class(self, command: meta.Command) -> RequestClass | None:
+        """Return the class of a command: the one that was in effect when its last byte arrived."""
+        name = command.fields.get("c", "")
+        history = self.class_history
+        if history.is_empty:
+            return self._listener.classes.get(name)
+        position = self.input.position()
+        if history.is_uncertain and has_open_window(self._writer):
+            history.limit(self.input.received_end())
+        if command.is_chunked:
+            position += command.length + len(meta.CRLF)
+        return history.find(name, position, self._listener.classes)
+
+    def keep_class_of_incoming(self, is_received: bool) -> None:
+        """Keep the class of the request whose value is not processed completely, if all of it has been received.
+
+        Otherwise the request is failed when it is submitted, if a reload has removed its class by then.
+        """
+        if self.unsubmitted is not None and is_received:
+            self.unsubmitted.keeps_class = True
+
     def _create_request(
         self, command: meta.Command, request_class: RequestClass, identity: int, body: Pipe | None
     ) -> PendingRequest:
--- a/starlingthread/net/clients/shedding.py
+++ b/starlingthread/net/clients/shedding.py
@@ -68,6 +68,8 @@
             return False
         if self._responses.slots or self._listener.draining or state.partial_since is not None:
             return False
+        if not self._reader.has_current_classes:
+            return False
         if self._reader.processed_bytes != self._reader.stream_bytes:
             return False
         return not self._transport.get_write_buffer_size()
--- a/starlingthread/net/meta/chunked_value.py
+++ b/starlingthread/net/meta/chunked_value.py
@@ -34,6 +34,11 @@
         """Whether more of the value, or its CRLF, has to arrive."""
         return self._bytes_left > 0
 
+    @property
+    def bytes_left(self) -> int:
+        """Number of bytes that have not been received, with the CRLF."""
+        return self._bytes_left
+
     def begin(self, length: int) -> None:
         """Begin to receive a value of a length in bytes, without its CRLF."""
         self._bytes_left = length + len(CRLF)
--- a/starlingthread/net/meta/commands.py
+++ b/starlingthread/net/meta/commands.py
@@ -152,6 +152,12 @@
         """Return how many received bytes are not processed."""
         return self._buffer.unread_bytes()
 
+    def missing_value_bytes(self) -> int:
+        """Return how many bytes after the processed ones belong to the value of the last head; 0 if it has none."""
+        if self._pending is not None:
+            return self._pending.length + len(CRLF)
+        return max(self._skip_bytes_left, self._chunked_value.bytes_left)
+
     def held_bytes(self) -> int:
         """Return the size of the unprocessed input, in which a value of up to MAX_UNCHUNKED_BYTES counts as a whole."""
         unread_bytes = self._buffer.unread_bytes()
--- a/starlingthread/policy/balancer.py
+++ b/starlingthread/policy/balancer.py
@@ -107,10 +107,14 @@
     def _on_request(self, now: float, request: Request) -> None:
         fleet = self.fleet
         classes = fleet.settings.classes
-        if request.id in fleet.requests or not 0 <= request.class_index < len(classes):
+        if request.id in fleet.requests:
             return
-        request_class = classes[request.class_index]
-        expected_cost = self.load.service_times[request_class.name].expected_time(request.cost_hint)
+        request_class = request.request_class
+        if request_class is None:
+            if not 0 <= request.class_index < len(classes):
+                return
+            request_class = classes[request.class_index]
+        expected_cost = self.load.service_times.expected_time(request_class, request.cost_hint)
         executions = fleet.executions.open(request.identity)
         state = RequestState(request, request_class, now, expected_cost, executions)
         fleet.requests[request.id] = state
--- a/starlingthread/state/fleet.py
+++ b/starlingthread/state/fleet.py
@@ -79,10 +79,11 @@
         self.servers[endpoint.server] = server
 
     def _drop_removed_servers(self, now: float) -> None:
-        """Drop servers that were unavailable for so long that no attempt can be in flight, to bound memory."""
+        """Drop servers that were unavailable for so long that no request returns to them, to bound memory."""
         for number, server in list(self.servers.items()):
             server.unavailable_since = min(server.unavailable_since, now) if server.unavailable else math.inf
-            if now - server.unavailable_since > self.retention and number not in self.in_maintenance:
+            is_unused = number not in self.in_maintenance and not server.attempts_in_flight
+            if is_unused and now - server.unavailable_since > self.retention:
                 del self.servers[number]
 
     def _first_tokens(self) -> float:
