Pass on whatever makes progress during a shutdown, and end only what stalls

A slow reader lost the rest of a response if it sent a command after our end of file. Cause: the shutdown had one limit in all. A streamed value counts as finished from its first byte, so nothing was open at the limit. The linger period ended while the system still held responses, which a closed socket drops as soon as a command arrives. Change: each connection has its own limit that starts anew with each byte read or delivered (net/clients/draining.py): 4.5 s or the longest deadline as before, 10 s while its client has bytes to take. After that time in all no further commands are read, so a client that is never idle does not hold the process. Uploads that end after the earliest SIGKILL get their whole time. The linger period lasts while the client takes responses. The log event shutdown-timeout is replaced by shutdown-stalled; Router.fail_all is gone, as nothing calls it. Why it works: a transfer is only ended by a time without a byte, and every wait without a byte is bounded; the end of a stalled server's value is at 6 s as before.

--- a/starlingthread/core/router.py
+++ b/starlingthread/core/router.py
@@ -206,11 +206,6 @@
         """Return the answer to a request of which no attempt starts; a rejection promises that it was not executed."""
         return Failed() if self.may_have_run(request.identity) else Rejected()
 
-    def fail_all(self) -> None:
-        """Answer every open request as failed, before this process exits."""
-        for request in list(self.requests.values()):
-            self.fail(request)
-
     def fail(self, request: PendingRequest) -> None:
         """Answer an open request as failed."""
         self._table.finish(request, Failed())
--- a/starlingthread/net/clients/closing.py
+++ b/starlingthread/net/clients/closing.py
@@ -6,9 +6,44 @@
 import select
 from collections.abc import Callable
 
-from ..streams import has_poll_event
+from ...core.deadlines import Deadline
+from ..streams import has_poll_event, unacknowledged_bytes
 from .context import ConnectionState, ListenerContext
-from .limits import LINGER_TIMEOUT_MS, MAX_LINGER_BYTES, READ_BYTES
+from .limits import LINGER_TIMEOUT_MS, MAX_LINGER_BYTES, READ_BYTES, WRITE_STALL_TIMEOUT_MS
+
+
+class LingerTimer:
+    """Aborts a connection some time after our end of file, once its client has taken all responses or has stalled.
+
+    A socket that is closed before that still sends what it holds, but drops it once the client sends another command.
+    """
+
+    def __init__(self, listener: ListenerContext, writer: asyncio.StreamWriter) -> None:
+        """Start the timer, as our end of file is being sent."""
+        self._clock = listener.clock
+        self._deadlines = listener.deadlines
+        self._writer = writer
+        self._undelivered_bytes = unacknowledged_bytes(writer)
+        self._progressed_at = self._clock.now()
+        self._deadline = self._schedule()
+
+    def stop(self) -> None:
+        """Stop the timer."""
+        self._deadlines.clear(self._deadline)
+
+    def _schedule(self) -> Deadline:
+        return self._deadlines.set(self._clock.now() + LINGER_TIMEOUT_MS, self._check)
+
+    def _check(self) -> None:
+        now = self._clock.now()
+        undelivered_bytes = unacknowledged_bytes(self._writer)
+        if undelivered_bytes < self._undelivered_bytes:
+            self._undelivered_bytes = undelivered_bytes
+            self._progressed_at = now
+        elif not undelivered_bytes or now - self._progressed_at >= WRITE_STALL_TIMEOUT_MS:
+            self._writer.transport.abort()
+            return
+        self._deadline = self._schedule()
 
 
 async def linger(
@@ -29,7 +64,7 @@
     state.lingering = True
     state.last_used_at = listener.clock.now()
     transport = writer.transport
-    timer = listener.deadlines.set(state.last_used_at + LINGER_TIMEOUT_MS, transport.abort)
+    timer = LingerTimer(listener, writer)
     try:
         writer.write_eof()
         await asyncio.gather(reading, return_exceptions=True)  # the task releases the stream
@@ -38,10 +73,12 @@
         while remaining > 0 and (data := await reader.read(READ_BYTES)):
             remaining -= len(data)
     finally:
-        listener.deadlines.clear(timer)
+        timer.stop()
 
 
-async def has_nothing_unread(writer: asyncio.StreamWriter, is_done: Callable[[], bool]) -> bool:
+async def has_nothing_unread(
+    writer: asyncio.StreamWriter, is_done: Callable[[], bool], reading_stopped: bool = False
+) -> bool:
     """Return whether the connection can be closed: nothing is unread or unanswered. If so, reading is paused.
 
     This protects a request that crosses our close: a request that was read from the socket must be answered.
@@ -49,13 +86,15 @@
     Data that is still in the socket counts as unread: after the process was stalled for a while, all connections look
     idle, and those with unread requests used to be closed. Reading is paused and the reader gets one turn of the event
     loop. A request that arrives later than that is sent again by its client.
+
+    reading_stopped: nothing more is read, so only what was read before counts as unread
     """
     transport = writer.transport
     if not transport.is_closing():
         transport.pause_reading()  # type: ignore[attr-defined]
     await asyncio.sleep(0)
-    if is_done() and not has_poll_event(writer, select.POLLIN):
+    if is_done() and (reading_stopped or not has_poll_event(writer, select.POLLIN)):
         return True
-    if not transport.is_closing():
+    if not reading_stopped and not transport.is_closing():
         transport.resume_reading()  # type: ignore[attr-defined]
     return False
--- a/starlingthread/net/clients/connection.py
+++ b/starlingthread/net/clients/connection.py
@@ -8,6 +8,7 @@
 from .class_history import RequestClasses
 from .closing import has_nothing_unread, linger
 from .context import ConnectionState, ListenerContext
+from .draining import Progress
 from .idle import EvictionRank, eviction_rank
 from .limits import COMMAND_TIMEOUT_MS, IDLE_TIMEOUT_MS, SHORT_IDLE_TIMEOUT_MS
 from .reader import ClientReader
@@ -86,7 +87,7 @@
             if self.state.disconnected:
                 return
             if self._is_done():
-                if await has_nothing_unread(self.writer, self._is_done):
+                if await has_nothing_unread(self.writer, self._is_done, self.listener.reading_stopped):
                     return
                 self._cancel_idle_close()
             await responses.mailbox.wait()
@@ -183,6 +184,39 @@
         self.state.closing = True
         self.responses.mailbox.wake()
 
+    def stop_reading(self) -> None:
+        """Read no further commands, as the process shuts down; what was read is answered."""
+        self._command_reader.stop()
+        self.responses.mailbox.wake()
+
+    def progress(self) -> Progress:
+        """Return what has moved on the connection so far."""
+        return Progress(self._command_reader.processed_bytes, self._response_writer.delivered_bytes())
+
+    def awaits_client(self) -> bool:
+        """Return whether the client's system has still to take bytes that were written to it."""
+        return self._response_writer.undelivered_bytes() > 0
+
+    def fail_blocking_requests(self) -> None:
+        """Answer open requests as failed if other responses wait behind them.
+
+        Nothing waits behind a request whose value is still being received.
+        """
+        if len(self.responses.slots) > 1:
+            for request in list(self.requests.slots_by_request):
+                if not request.is_receiving:
+                    self.listener.router.fail(request)
+
+    def fail_requests(self) -> None:
+        """Answer all open requests as failed."""
+        for request in list(self.requests.slots_by_request):
+            self.listener.router.fail(request)
+
+    def abort(self) -> None:
+        """End the connection at once."""
+        self.listener.counters.increment("clients.stalled_at_shutdown")
+        self.writer.transport.abort()
+
     def close(self) -> None:
         """Release the connection and cancel its requests in flight; no other code releases it."""
         self.requests.close()
--- a/starlingthread/net/clients/context.py
+++ b/starlingthread/net/clients/context.py
@@ -12,6 +12,7 @@
 from ...core.router import Router
 from ...core.task_supervisor import TaskSupervisor
 from ...settings import RequestClass
+from .draining import DrainLimits
 
 
 class PausedConnection(Protocol):
@@ -36,7 +37,8 @@
     classes: dict[str, RequestClass]  # request classes by name
     open_ids: set[bytes]  # ids of unanswered requests on all connections
     draining: bool  # whether each connection is closed after its response
-    answer_deadline: float  # clock time by which requests that arrive from now on must be answered
+    drain_limits: DrainLimits  # the time limits of a graceful shutdown
+    reading_stopped: bool  # whether no further commands are read, as the process shuts down
 
     @property
     def at_capacity_until(self) -> float:
--- a/starlingthread/net/clients/limits.py
+++ b/starlingthread/net/clients/limits.py
@@ -27,7 +27,7 @@
 # time-out starts when the client sends the request, and the response needs time to travel back.
 RESPONSE_MARGIN_MS = 4.0
 # Received data is read and discarded for this long after our end of file, as closing with unread data would reset the
-# connection.
+# connection; for longer while the client still takes responses.
 LINGER_TIMEOUT_MS = 500.0
 
 # The head of a command must be complete within this time after its first byte, and more of its value must arrive
--- a/starlingthread/net/clients/listener.py
+++ b/starlingthread/net/clients/listener.py
@@ -11,6 +11,7 @@
 from ...core.pipe import ByteBudget
 from ...core.router import Router
 from ...core.task_supervisor import TaskSupervisor
+from ...logs import log
 from ...settings import RequestClass, Settings
 from ..streams import DisconnectAwareProtocol, disable_nagle, drain_completely, limit_read_size
 from .accept_loop import AcceptLoop
@@ -20,14 +21,14 @@
 from .class_history import RequestClasses
 from .connection import ClientConnectionActor
 from .context import PausedConnection
+from .draining import DRAIN_CHECK_INTERVAL_MS, DrainLimits, StallMonitor
 from .limits import DISCONNECT_CHECK_INTERVAL_MS, READ_BYTES
 
 # Interval of the checks for connections that are idle, silent or within a command for too long.
 IDLE_CHECK_INTERVAL_MS = 100.0
+DEFAULT_DRAIN_LIMITS = DrainLimits()  # no limits
 # Above this share of the idle client threshold, idle connections are closed after a shorter time.
 NEAR_THRESHOLD_SHARE = 0.8
-# Interval of the checks for connections that are still open while draining.
-DRAIN_CHECK_INTERVAL_S = 0.05
 
 
 def bind(host: str, port: int) -> socket.socket:
@@ -71,7 +72,8 @@
         self.connections: set[ClientConnectionActor] = set()
         # While draining, each connection is closed after its response, as another process accepts new connections.
         self.draining = False
-        self.answer_deadline = math.inf  # clock time by which requests that arrive from now on must be answered
+        self.drain_limits = DrainLimits()
+        self.reading_stopped = False  # whether no further commands are read, as the process shuts down
         # The socket is kept open while another process accepts connections.
         self.socket: socket.socket | None = None
         self._is_socket_shared = False  # whether the process that it was inherited from uses it too
@@ -197,25 +199,31 @@
     def _fail_blocking_requests(self) -> None:
         """Fail the open requests of connections on which other responses wait behind them, so that those are sent."""
         for actor in list(self.connections):
-            if len(actor.responses.slots) > 1:
-                for request in list(actor.requests.slots_by_request):
-                    self.router.fail(request)
+            actor.fail_blocking_requests()
 
-    async def drain(self, answer_deadline: float = math.inf) -> None:
+    async def drain(self, limits: DrainLimits = DEFAULT_DRAIN_LIMITS) -> None:
         """Stop accepting, close each connection once its responses are written, and return when all are closed.
 
-        answer_deadline: clock time by which to answer requests that arrive from now on, on connections with a pending
-        response
+        A connection is closed earlier if nothing moves on it for the quiet timeout. After as long a time in all, no
+        further commands are read.
         """
-        self.answer_deadline = answer_deadline
-        if math.isfinite(answer_deadline):
-            self.deadlines.set(answer_deadline, self._fail_blocking_requests)
+        self.drain_limits = limits
+        if math.isfinite(limits.answer_deadline):
+            self.deadlines.set(limits.answer_deadline, self._fail_blocking_requests)
         if self._accept_loop is not None:
             await self._accept_loop.accept_queued()
         self._stop_accepting()
         if self.socket is not None:
             self.socket.close()
+        started_at = self.clock.now()
+        monitor = StallMonitor(limits.quiet_timeout, started_at)
         while self.connections:
+            now = self.clock.now()
+            self.reading_stopped = now - started_at >= limits.quiet_timeout
             for actor in list(self.connections):
                 actor.close_when_idle()
-            await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
+                if self.reading_stopped:
+                    actor.stop_reading()
+            if stalled := monitor.check(now, list(self.connections)):
+                log.warning("shutdown-stalled", connections=stalled, **{"requests.open": len(self.router.requests)})
+            await asyncio.sleep(DRAIN_CHECK_INTERVAL_MS / 1000.0)
--- a/starlingthread/net/clients/read_ahead.py
+++ b/starlingthread/net/clients/read_ahead.py
@@ -27,6 +27,7 @@
         "_is_ahead",
         "_is_behind",
         "_is_paused",
+        "_is_stopped",
         "_listener",
         "_on_disconnect",
         "_parser",
@@ -50,6 +51,7 @@
         self._is_active = False  # whether received bytes go to the parser at once, as no response slot is free
         self._is_ahead = False  # whether the held bytes count in the listener's read-ahead
         self._is_paused = False  # whether reading is paused for lack of memory
+        self._is_stopped = False  # whether nothing is read any more
         self._held_bytes = 0  # bytes that the parser holds or has made room for
         self._is_behind = False  # whether the client may have sent, and closed, since reading was paused
         self._hidden_since = 0.0  # clock time from which on a close may not have been seen, while this is behind
@@ -67,10 +69,15 @@
 
     def resume(self) -> None:
         """Read again if reading is paused, as the parser needs more bytes."""
-        if self._is_paused:
+        if self._is_paused and not self._is_stopped:
             self._is_paused = False
             resume_reading(self._writer)
 
+    def stop(self) -> None:
+        """Read nothing more, whatever the client sends."""
+        self._is_stopped = True
+        self.pause()
+
     def take(self, data: bytes) -> bool:
         """Handle received bytes; return False if the stream's reader must get them."""
         if self._is_behind and len(data) < READ_BYTES:
--- a/starlingthread/net/clients/reader.py
+++ b/starlingthread/net/clients/reader.py
@@ -25,6 +25,7 @@
         "_requests",
         "_responses",
         "_state",
+        "_stop_position",
         "_stream",
         "_writer",
         "ahead",
@@ -55,6 +56,7 @@
         self.ahead_bytes = 0  # bytes that were read ahead, which went to the parser at once
         self.stream_bytes = 0  # bytes received for the stream, and bytes read from it
         self.processed_bytes = 0
+        self._stop_position: int | None = None  # nothing is read any more once the input was parsed up to here
         requests.input = self
 
     def position(self) -> int:
@@ -93,6 +95,18 @@
         if possible_end:
             self._requests.class_history.add(classes, 0, possible_end)
 
+    def stop(self) -> None:
+        """Read no more, except for the rest of a value that is being received; handle what was read.
+
+        This ends the requests of a client that always sends the next one before it has all answers.
+        """
+        if self._stop_position is not None:
+            return
+        self._stop_position = self.position() + self._parser.missing_value_bytes()
+        if not self._parser.is_receiving_value():
+            self.ahead.stop()
+        self._listener.watch_for_disconnect(self)
+
     async def run(self) -> None:
         """Read commands until the client closes; once framing is lost, discard what it sends."""
         try:
@@ -122,6 +136,8 @@
             return False
         self._update_partial_since()
         self.ahead.account()
+        if self._stop_position is not None and self.position() >= self._stop_position:
+            self.ahead.stop()
         if self._listener.buffers.is_exceeded():
             self._parser.discard_value()
             self.ahead.account()
@@ -199,4 +215,5 @@
             self.ahead.look_for_disconnect()
             if self._requests.incoming is not None:
                 self._requests.incoming.arrival.update(self._unprocessed_bytes())
-        return not self._state.disconnected and (self._responses.is_full() or self._requests.incoming is not None)
+        is_paused = self._responses.is_full() or self._requests.incoming is not None or self._stop_position is not None
+        return is_paused and not self._state.disconnected
--- a/starlingthread/net/clients/requests.py
+++ b/starlingthread/net/clients/requests.py
@@ -186,7 +186,8 @@
         now = self._state.last_used_at
         if body is None:
             # The wait is bounded by the request class, and by the remaining lifetime of a process that shuts down.
-            timeout = min(command.timeout_ms, request_class.deadline, self._listener.answer_deadline - now)
+            time_to_answer = self._listener.drain_limits.time_to_answer(now)
+            timeout = min(command.timeout_ms, request_class.deadline, time_to_answer)
         else:
             timeout = VALUE_TIMEOUT_MS
         return PendingRequest(
@@ -273,9 +274,8 @@
         if slot.deferred_answer is not None:
             self._respond(slot, slot.deferred_answer)
         elif not request.finished and isinstance(request.payload, meta.Command):
-            timeout = min(
-                request.payload.timeout_ms, request.request_class.deadline, self._listener.answer_deadline - received_at
-            )
+            time_to_answer = self._listener.drain_limits.time_to_answer(received_at)
+            timeout = min(request.payload.timeout_ms, request.request_class.deadline, time_to_answer)
             deadline = received_at + timeout - RESPONSE_MARGIN_MS
             self._listener.router.mailbox.force_put(BodyReceived(request, deadline))
 
--- a/starlingthread/net/clients/writer.py
+++ b/starlingthread/net/clients/writer.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from ...core.pipe import Pipe
-from ..streams import takes_more
+from ..streams import takes_more, unacknowledged_bytes
 from .context import ConnectionState, ListenerContext
 from .limits import MAX_UNSENT_BYTES
 from .responses import ResponseSlot
@@ -15,7 +15,7 @@
 class ResponseWriter:
     """Writes one response at a time to a client's stream."""
 
-    __slots__ = ("_listener", "_stall_timer", "_state", "_streaming", "_writer")
+    __slots__ = ("_listener", "_stall_timer", "_state", "_streaming", "_writer", "_written_bytes")
 
     def __init__(self, listener: ListenerContext, state: ConnectionState, writer: asyncio.StreamWriter) -> None:
         self._listener = listener
@@ -23,10 +23,20 @@
         self._writer = writer
         self._stall_timer = WriteStallTimer(listener.clock, listener.deadlines, writer, self._abort_stalled)
         self._streaming: Pipe | None = None  # the chunked value being written
+        self._written_bytes = 0
+
+    def delivered_bytes(self) -> int:
+        """Return how many bytes of the responses the client's system has taken."""
+        return self._written_bytes - self.undelivered_bytes()
+
+    def undelivered_bytes(self) -> int:
+        """Return how many bytes were written that the client's system has not taken."""
+        return unacknowledged_bytes(self._writer)
 
     async def write(self, slot: ResponseSlot, parts: tuple[bytes, ...]) -> None:
         """Write one response; a large one is written part by part, so that little unsent data is buffered."""
         self._state.last_used_at = self._listener.clock.now()
+        self._written_bytes += slot.reserved_bytes
         if slot.reserved_bytes <= MAX_UNSENT_BYTES:
             self._writer.writelines(parts)
             if self._exceeds_unsent_limit():
@@ -63,7 +73,9 @@
 
     async def _write_piece(self, pipe: Pipe) -> None:
         """Write the next piece of a chunked value, and wait until the operating system has all of it."""
-        self._writer.write(pipe.take())
+        piece = pipe.take()
+        self._written_bytes += len(piece)
+        self._writer.write(piece)
         pipe.may_read_ahead = takes_more(self._writer)
         try:
             await self.flush()
