Keep calls to discovery over reloads, and old ones until a new address answers

Cause: each reload ended the watch and every call under way and began anew, also with an unchanged address, so no call lived until its answer. Ruled out: failed calls and backoffs (no failure was counted; one more watch a reload). Change: calls are kept unless the address or an index of a zone or kind has changed (net/discovery/open_calls.py). After such a change they are obsolete, but end only once a later one has brought a list; an obsolete call's end is no failure, and its list does not end the attempts to reach the new address. That the whole list is needed is remembered until it has come. Why it works: no event but a newer list ends a call, so what discovery answers is always heard. Two checks said that a change of address ends the old calls at once, which is this fault.

--- a/starlingthread/net/discovery/actor.py
+++ b/starlingthread/net/discovery/actor.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 from random import Random
 from typing import NamedTuple, TypeAlias, assert_never
@@ -18,6 +17,7 @@
 from .call import DiscoveryCall, PollResponse, WatchResponse
 from .endpoint_list import EndpointListParser
 from .errors import DiscoveryCallError, EndpointListError
+from .open_calls import CallKind, OpenCall, OpenCalls
 
 LIST_PATH = "/registry/instances"
 MAX_MAILBOX_MESSAGES = 100
@@ -71,11 +71,12 @@
         self.counters = router.counters
         self.deadlines = router.deadlines
         self.mailbox: Mailbox[Message] = Mailbox(MAX_MAILBOX_MESSAGES)
-        self.version = 0  # version of the router's list; 0 makes the next call fetch the whole list
+        self.version = 0  # version of the router's list; 0: none
         self.watch_wanted = False  # True while the router wants to be notified of changes
+        self._needs_whole_list = True  # whether changes alone would not bring the list up to date
+        self._are_calls_obsolete = False  # whether an index has changed since the open calls have started
         self._listed_ids: set[int] = set()  # ids of the servers in the router's list
-        self._watch_task: asyncio.Task[None] | None = None
-        self._fetch_tasks: set[asyncio.Task[None]] = set()
+        self._calls = OpenCalls()
         self._consecutive_failures = 0
         self._rng = Random()
 
@@ -85,11 +86,11 @@
         return len(self._listed_ids)
 
     def apply_settings(self, zones: tuple[str, ...], server_kinds: tuple[str, ...], lists_pushed: bool = False) -> None:
-        """Apply changed settings. The next call fetches the whole list if the index of a zone or kind has changed."""
+        """Apply changed settings. The whole list is fetched again if the index of a zone or kind has changed."""
         self.lists_pushed = lists_pushed
         self.watch_wanted = self.watch_wanted or lists_pushed
         if self.parser.set_names(zones, server_kinds):
-            self.version = 0
+            self._needs_whole_list = self._are_calls_obsolete = True
 
     def server_id(self, name: str) -> int | None:
         """Return the id of a listed server, or None if no server of that name is listed."""
@@ -100,6 +101,7 @@
         """Report the endpoint list that is cached in the configuration. Raises EndpointListError."""
         received = self.parser.parse(raw, EndpointListKind.CACHED)
         self.version = received.event.version
+        self._needs_whole_list = False
         self._listed_ids = {endpoint.server for endpoint in received.event.endpoints}
         self.router.mailbox.force_put(received)
 
@@ -113,16 +115,25 @@
         self._put(FetchList())
 
     def set_address(self, address: tuple[str, int]) -> None:
-        """Cancel all calls to discovery's old address and repeat them at once at the new one."""
+        """Call discovery at this address from now on, at once if it or the settings of lists have changed.
+
+        Calls to the old address go on until the new one has sent a list.
+        """
         self.mailbox.force_put(ChangeAddress(address))
 
     def report_failure(self, reason: str) -> None:
         """Report a failed call to the router; if lists are pushed, retry the watch after a backoff."""
+        self._record_failure(reason)
+        self._report_no_watch()
+        if self.lists_pushed:
+            self.deadlines.set(self.clock.now() + self._next_backoff(), self._retry_watch)
+
+    def _record_failure(self, reason: str) -> None:
         self.counters.increment("discovery.failures")
         log.info("discovery-failed", reason=reason)
+
+    def _report_no_watch(self) -> None:
         self.router.mailbox.force_put(EndpointsReceived(EndpointList(EndpointListKind.FAILED, self.version), {}))
-        if self.lists_pushed:
-            self.deadlines.set(self.clock.now() + self._next_backoff(), self._retry_watch)
 
     async def run(self) -> None:
         """Handle messages until cancelled."""
@@ -142,9 +153,9 @@
             case StartWatch():
                 self._start_watch()
             case StopWatch():
-                self._stop_watch()
+                self._calls.cancel(CallKind.WATCH)
             case FetchList():
-                self._start_fetch()
+                self._start_call(CallKind.FETCH)
             case ChangeAddress(address):
                 self._change_address(address)
             case _:
@@ -152,51 +163,82 @@
 
     def _start_watch(self) -> None:
         # An open watch is kept: it has its own idle timeout, and a new call would have to wait for the list again.
-        if self._watch_task is None or self._watch_task.done():
-            self._watch_task = self._start_call(f"{LIST_PATH}?watch=1&after={self.version}", is_watch=True)
-
-    def _stop_watch(self) -> None:
-        if self._watch_task is not None:
-            self._watch_task.cancel()
-            self._watch_task = None
-
-    def _start_fetch(self) -> None:
-        task = self._start_call(LIST_PATH, is_watch=False)
-        self._fetch_tasks.add(task)
-        task.add_done_callback(self._fetch_tasks.discard)
+        if not self._calls.current(CallKind.WATCH):
+            self._start_call(CallKind.WATCH)
 
     def _change_address(self, address: tuple[str, int]) -> None:
-        """Cancel all calls to the old address and repeat them at the new one.
+        """Repeat the calls at a new address, or for new settings of lists.
 
-        Neither a list from a watch at the old address nor the end of that watch is reported after this. A pending fetch
-        is repeated because its response may never arrive.
+        Without such a change open calls are kept. Their answers are as good as those of new ones, which would have to
+        wait anew.
         """
-        self.address = address
-        self._stop_watch()
-        pending_fetch_count = len(self._fetch_tasks)
-        for task in self._fetch_tasks:
-            task.cancel()
-        self._fetch_tasks.clear()
+        if address != self.address or self._are_calls_obsolete:
+            self.address = address
+            self._are_calls_obsolete = False
+            pending_fetch_count = len(self._calls.current(CallKind.FETCH))
+            self._calls.begin_epoch()
+            for _ in range(pending_fetch_count):
+                self._start_call(CallKind.FETCH)
         if self.watch_wanted:
             self._start_watch()
-        for _ in range(pending_fetch_count):
-            self._start_fetch()
-
-    def _start_call(self, path: str, is_watch: bool) -> asyncio.Task[None]:
-        self.counters.increment("discovery.watches" if is_watch else "discovery.fetches")
-        call_coroutine = self._run_call(path, is_watch)
-        return self.supervisor.start(call_coroutine, "discovery-call", lambda error: self.report_failure(repr(error)))
-
-    async def _run_call(self, path: str, is_watch: bool) -> None:
-        """Make one call. A poll reports one list or one failure; a watch any number of lists, and then one failure."""
-        call = DiscoveryCall(self.clock, self.deadlines, self.address, path)
-        response = WatchResponse(self.clock, self._apply_list) if is_watch else PollResponse(self._apply_list)
+
+    def _start_call(self, kind: CallKind) -> None:
+        if kind is CallKind.WATCH:
+            self.counters.increment("discovery.watches")
+            call = self._calls.add(kind, self.clock.now(), self._needs_whole_list)
+            path = f"{LIST_PATH}?watch=1&after={0 if self._needs_whole_list else self.version}"
+        else:
+            self.counters.increment("discovery.fetches")
+            call = self._calls.add(kind, self.clock.now(), True)
+            path = LIST_PATH
+        call.task = self.supervisor.start(
+            self._run_call(call, self.address, path),
+            "discovery-call",
+            lambda error: self._on_call_failed(call, repr(error)),
+        )
+
+    async def _run_call(self, call: OpenCall, address: tuple[str, int], path: str) -> None:
+        """Make one call. A fetch reports one list or one failure; a watch any number of lists, and then one failure."""
+        request = DiscoveryCall(self.clock, self.deadlines, address, path)
+        response: PollResponse | WatchResponse
+        if call.kind is CallKind.WATCH:
+            response = WatchResponse(
+                self.clock, lambda payload: self._on_list(call, payload), lambda: self._on_answer(call)
+            )
+        else:
+            response = PollResponse(lambda payload: self._on_list(call, payload))
         try:
-            await call.run(response)
+            await request.run(response)
         except DiscoveryCallError as error:
-            self.report_failure(str(error))
+            self._on_call_failed(call, str(error))
         except (OSError, h11.RemoteProtocolError, EndpointListError) as error:
-            self.report_failure(repr(error))
+            self._on_call_failed(call, repr(error))
+        finally:
+            self._calls.remove(call)
+
+    def _on_call_failed(self, call: OpenCall, reason: str) -> None:
+        """Report a failure, unless the call is obsolete or another one is open in its place."""
+        self._calls.remove(call)
+        if not self._calls.is_current(call):
+            log.info("discovery-call-ended", reason=reason)
+        elif not self._calls.current(call.kind):
+            self.report_failure(reason)
+        else:
+            self._record_failure(reason)
+
+    def _on_list(self, call: OpenCall, payload: bytes) -> None:
+        """Parse a list and report it to the router. Raises EndpointListError."""
+        self._apply_list(payload)
+        if call.wants_whole_list and not call.has_answered:
+            self._needs_whole_list = False
+        self._on_answer(call)
+        if not self._calls.is_current(call) and not self._calls.current(CallKind.WATCH):
+            self._report_no_watch()  # the list has come from an obsolete call, so another call is still needed
+
+    def _on_answer(self, call: OpenCall) -> None:
+        """Record that the list is as current as a call can tell."""
+        call.has_answered = True
+        self._calls.cancel_superseded_by(call)
 
     def _next_backoff(self) -> float:
         """Return the pause (ms) before the next retry. Its mean doubles with each consecutive failure, to a limit."""
@@ -214,11 +256,13 @@
         event = received.event
         if event.kind == EndpointListKind.DELTA and event.version < self.version:
             known_version = self.version
-            self.version = 0  # discovery has restarted its version count: the next call fetches the whole list
+            self.version = 0
+            self._needs_whole_list = True  # discovery has restarted its version count
             raise EndpointListError(
                 f"delta of version {event.version} is older than the list of version {known_version}"
             )
         self.version = event.version
+        self._needs_whole_list = self._needs_whole_list and event.kind == EndpointListKind.DELTA
         self._update_listed_ids(event)
         self.parser.ids.retain(self._listed_ids)
         self._consecutive_failures = 0
--- a/starlingthread/net/discovery/call.py
+++ b/starlingthread/net/discovery/call.py
@@ -81,9 +81,12 @@
 class WatchResponse:
     """The response to a watch: its body is a sequence of lists, with empty lines between them as heartbeats."""
 
-    def __init__(self, clock: Clock, on_list: Callable[[bytes], None]) -> None:
+    def __init__(
+        self, clock: Clock, on_list: Callable[[bytes], None], on_heartbeat: Callable[[], None] = lambda: None
+    ) -> None:
         self._clock = clock
         self._on_list = on_list
+        self._on_heartbeat = on_heartbeat
         self._splitter = JsonObjectSplitter()
         self._list_began_at = 0.0  # clock time of the first byte of the partial list
         self.idle_timeout_ms = IDLE_TIMEOUT_MS
@@ -96,9 +99,13 @@
     def feed(self, data: bytes) -> None:
         """Deliver each list that is complete; raise DiscoveryCallError if one arrives too slowly."""
         continues_list = self._splitter.has_partial_object()
+        list_count = 0
         for complete_list in self._splitter.feed(data):
             self._on_list(complete_list)
+            list_count += 1
             continues_list = False
+        if not list_count and not self._splitter.has_partial_object():
+            self._on_heartbeat()
         self.idle_timeout_ms = WATCH_IDLE_TIMEOUT_MS  # a heartbeat counts, too: it confirms that nothing has changed
         now = self._clock.now()
         if not continues_list:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -13,51 +13,18 @@
 
 from starlingthread.core.deadlines import Deadline
 from starlingthread.events import ServerState
-from starlingthread.net.discovery import LIST_PATH, EndpointListError, JsonObjectSplitter
+from starlingthread.net.discovery import EndpointListError, JsonObjectSplitter
 from starlingthread.net.discovery.call import LIST_TIMEOUT_MS
 
+from .discovery_steps import accept_watch, open_watch, server_states, start_watch
 from .peers import (
-    WATCH_HEADERS,
-    Peer,
-    RunningRouter,
     chunk,
-    entry,
     listing,
     run_loop_turns,
     running_router,
     until,
 )
 
-
-def server_states(harness: RunningRouter) -> dict[str, ServerState]:
-    """Return the state that the router has for each server, by name."""
-    assign_id = harness.program.actors.discovery.parser.ids.assign
-    names = {assign_id(entry["name"]): entry["name"] for entry in harness.entries()}
-    servers = harness.router.balancer.fleet.servers
-    return {names[number]: server.endpoint.state for number, server in servers.items() if number in names}
-
-
-async def accept_watch(harness: RunningRouter) -> Peer:
-    """Accept a watch call and send the head of its response."""
-    peer = await harness.discovery.accept()
-    assert (await peer.until(b"\r\n\r\n")).startswith(f"GET {LIST_PATH}?watch=1".encode())
-    await peer.send(WATCH_HEADERS)
-    return peer
-
-
-def start_watch(harness: RunningRouter) -> None:
-    """Make the router watch for changes at once instead of at a random time."""
-    harness.program.actors.discovery.watch(True)
-
-
-async def open_watch(harness: RunningRouter) -> Peer:
-    """Make the router watch for changes, accept the call and send a heartbeat on it."""
-    start_watch(harness)
-    watch = await accept_watch(harness)
-    await watch.send(chunk(b"\n"))
-    return watch
-
-
 # Pushed lists
 
 
@@ -298,23 +265,3 @@
             assert harness.counters["discovery.watches"] == 1
 
     asyncio.run(scenario())
-
-
-def test_bytes_of_the_old_watch_are_ignored_after_a_change_of_the_address(tmp_path: Path) -> None:
-    """The bytes are already in the socket's buffer when the address changes."""
-
-    async def scenario() -> None:
-        async with running_router(tmp_path, 2) as harness:
-            old = await open_watch(harness)
-            await run_loop_turns()
-            await old.send(chunk(listing(9, entry("s-1", "127.0.0.1:1", "terminating"), full=False)))
-            # The event loop has not read these bytes yet.
-            harness.program.actors.discovery.set_address(("127.0.0.1", harness.discovery.port))
-            new = await accept_watch(harness)
-            await new.send(chunk(listing(2, *harness.entries())))
-            await until(lambda: harness.counters["discovery.lists"] >= 1)
-            await run_loop_turns()
-            assert server_states(harness)["s-1"] == ServerState.READY and harness.program.actors.discovery.version == 2
-            assert harness.counters["discovery.failures"] == 0
-
-    asyncio.run(scenario())
--- a/tests/test_discovery_lists.py
+++ b/tests/test_discovery_lists.py
@@ -11,6 +11,7 @@
 from starlingthread.core.task_supervisor import TaskSupervisor
 from starlingthread.events import Endpoint, EndpointListKind, ServerState
 from starlingthread.net.discovery import LIST_PATH, DiscoveryActor, EndpointListError, EndpointListParser, ServerIds
+from starlingthread.net.discovery.open_calls import OpenCall
 
 from .router_harness import RouterHarness
 
@@ -65,16 +66,18 @@
     assert resolved != ServerIds().assign("s-1") and resolved == with_collision.assign("s-1") < 1 << 32
 
 
-def test_a_new_address_of_discovery_is_called_at_once_and_the_ended_watch_is_no_failure() -> None:
-    """After a reload the router must get the lists of the new address soon, without a failure counted."""
+def test_a_new_address_of_discovery_is_called_at_once_and_the_old_calls_end_without_a_failure() -> None:
+    """After a reload the router must get the lists of the new address soon; until then, those of the old one."""
 
     async def scenario() -> None:
         harness = RouterHarness()
-        calls = []
+        calls: list[tuple[int, str]] = []
+        open_calls: list[OpenCall] = []
         discovery = DiscoveryActor(harness.router, EndpointListParser((), ()), ("127.0.0.1", 1), TaskSupervisor())
 
-        async def run_call(path: str, is_watch: bool) -> None:
-            calls.append((discovery.address[1], path))
+        async def run_call(call: OpenCall, address: tuple[str, int], path: str) -> None:
+            calls.append((address[1], path))
+            open_calls.append(call)
             await asyncio.Event().wait()
 
         discovery._run_call = run_call  # type: ignore[method-assign]
@@ -83,14 +86,17 @@
         discovery.fetch()
         await asyncio.sleep(0.0)
         await asyncio.sleep(0.0)
-        old_watch = discovery._watch_task
-        old_fetch = next(iter(discovery._fetch_tasks))
+        discovery.set_address(("127.0.0.1", 1))  # unchanged
         discovery.set_address(("127.0.0.1", 2))
         for _ in range(4):
             await asyncio.sleep(0.0)
-        paths = [f"{LIST_PATH}?watch=1&after=0", LIST_PATH]
-        assert calls == [(port, path) for port in (1, 2) for path in paths]
-        assert old_watch is not None and old_watch.cancelled() and old_fetch.cancelled()
+        watch, fetch = (f"{LIST_PATH}?watch=1&after=0", LIST_PATH)
+        assert calls == [(1, watch), (1, fetch), (2, fetch), (2, watch)]
+        tasks = [call.task for call in open_calls if call.task is not None]
+        assert not any(task.done() for task in tasks)
+        discovery._on_answer(open_calls[-1])
+        await asyncio.sleep(0.0)
+        assert [task.cancelled() for task in tasks] == [True, True, False, False]
         assert discovery.counters["discovery.failures"] == 0
         assert not harness.router.mailbox.take()
         await discovery.supervisor.stop()
