Bound silence, calls and pauses of discovery by one age of the endpoint list

Cause: the silence (2.5 s), a call (3 s) and each pause (up to 1.5 s) had limits of their own, and nothing bounded their sum. Ruled out: the pause after the silence alone, and pauses alone (a call that hangs for 3 s has the same effect). Change: the time since discovery last proved the list (net/discovery/list_proof.py) is the age that bounds all of them. A silence is followed by a call at once, as is a call that discovery kept waiting for 0.5 s or more; pauses end at age 2.5 s and 4.5 s; a call that still waits at 4.5 s gets another beside it, once. No reload, failed call or change of address renews the age, nor does an obsolete call. Shortened pauses lengthen later ones. Why it works: at 4.5 s a call has begun that leaves discovery 1.5 s to answer.

--- a/starlingthread/events.py
+++ b/starlingthread/events.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from enum import IntEnum
 from typing import NamedTuple, TypeAlias
 
@@ -67,12 +68,21 @@
     started: float = 0.0  # clock time at which the server started; 0: long ago
 
 
+class DiscoveryFailure(NamedTuple):
+    """What is known of a failed call to discovery."""
+
+    list_age: float = math.inf  # ms since discovery last showed that the list is current
+    held_for: float = 0.0  # ms for which discovery kept the call waiting before it failed it
+    is_silence: bool = False  # an open watch fell silent, so discovery has not failed any call
+
+
 class EndpointList(NamedTuple):
     """Event: the endpoint list, or changes to it."""
 
     kind: EndpointListKind
     version: int
     endpoints: tuple[Endpoint, ...] = ()
+    failure: DiscoveryFailure = DiscoveryFailure()  # with the kind FAILED
 
 
 class Request(NamedTuple):
--- a/starlingthread/net/discovery/actor.py
+++ b/starlingthread/net/discovery/actor.py
@@ -12,11 +12,13 @@
 from ...core.messages import EndpointsReceived
 from ...core.router import Router
 from ...core.task_supervisor import TaskSupervisor
-from ...events import EndpointList, EndpointListKind, ServerState
+from ...events import DiscoveryFailure, EndpointList, EndpointListKind, ServerState
+from ...limits.list_age import LAST_CALL_AGE_MS, MAX_LIST_AGE_MS
 from ...logs import log
 from .call import DiscoveryCall, PollResponse, WatchResponse
 from .endpoint_list import EndpointListParser
-from .errors import DiscoveryCallError, EndpointListError
+from .errors import DiscoveryCallError, DiscoveryTimeoutError, EndpointListError
+from .list_proof import ListProof
 from .open_calls import CallKind, OpenCall, OpenCalls
 
 LIST_PATH = "/registry/instances"
@@ -25,6 +27,9 @@
 # agent whether or not a watch is open, and the grace period of a drain may be only about 100 ms.
 WATCH_RETRY_BASE_MS = 20.0
 MAX_BACKOFF_DOUBLINGS = 4
+# A call that has waited for less is not overtaken by another one.
+MIN_WAIT_BEFORE_EXTRA_CALL_MS = 1000.0
+UNKNOWN_FAILURE = DiscoveryFailure()
 # Range of the random factor on a retry pause; it prevents routers from retrying at the same time.
 BACKOFF_JITTER_RANGE = (0.5, 1.5)
 
@@ -77,6 +82,7 @@
         self._are_calls_obsolete = False  # whether an index has changed since the open calls have started
         self._listed_ids: set[int] = set()  # ids of the servers in the router's list
         self._calls = OpenCalls()
+        self._proof = ListProof(self.clock, self.deadlines, self._on_call_due)
         self._consecutive_failures = 0
         self._rng = Random()
 
@@ -121,10 +127,10 @@
         """
         self.mailbox.force_put(ChangeAddress(address))
 
-    def report_failure(self, reason: str) -> None:
+    def report_failure(self, reason: str, failure: DiscoveryFailure = UNKNOWN_FAILURE) -> None:
         """Report a failed call to the router; if lists are pushed, retry the watch after a backoff."""
         self._record_failure(reason)
-        self._report_no_watch()
+        self._report_no_watch(failure)
         if self.lists_pushed:
             self.deadlines.set(self.clock.now() + self._next_backoff(), self._retry_watch)
 
@@ -132,8 +138,9 @@
         self.counters.increment("discovery.failures")
         log.info("discovery-failed", reason=reason)
 
-    def _report_no_watch(self) -> None:
-        self.router.mailbox.force_put(EndpointsReceived(EndpointList(EndpointListKind.FAILED, self.version), {}))
+    def _report_no_watch(self, failure: DiscoveryFailure) -> None:
+        event = EndpointList(EndpointListKind.FAILED, self.version, failure=failure)
+        self.router.mailbox.force_put(EndpointsReceived(event, {}))
 
     async def run(self) -> None:
         """Handle messages until cancelled."""
@@ -209,6 +216,8 @@
             response = PollResponse(lambda payload: self._on_list(call, payload))
         try:
             await request.run(response)
+        except DiscoveryTimeoutError as error:
+            self._on_call_failed(call, str(error), has_timed_out=True)
         except DiscoveryCallError as error:
             self._on_call_failed(call, str(error))
         except (OSError, h11.RemoteProtocolError, EndpointListError) as error:
@@ -216,16 +225,36 @@
         finally:
             self._calls.remove(call)
 
-    def _on_call_failed(self, call: OpenCall, reason: str) -> None:
+    def _on_call_failed(self, call: OpenCall, reason: str, has_timed_out: bool = False) -> None:
         """Report a failure, unless the call is obsolete or another one is open in its place."""
         self._calls.remove(call)
         if not self._calls.is_current(call):
             log.info("discovery-call-ended", reason=reason)
         elif not self._calls.current(call.kind):
-            self.report_failure(reason)
+            self.report_failure(reason, self._failure(call, has_timed_out))
         else:
             self._record_failure(reason)
 
+    def _failure(self, call: OpenCall, has_timed_out: bool) -> DiscoveryFailure:
+        is_held = not call.has_answered and not has_timed_out
+        held_for = self.clock.now() - call.started_at if is_held else 0.0
+        return DiscoveryFailure(self._proof.age(), held_for, is_silence=call.has_answered and has_timed_out)
+
+    def _on_call_due(self) -> None:
+        """Start another watch beside one that is kept waiting, so that its answer can still arrive in time."""
+        waiting = self._calls.current(CallKind.WATCH)
+        if not waiting or not self.watch_wanted:
+            return  # the next call follows a pause, which does not last longer either
+        due = waiting[-1].started_at + MIN_WAIT_BEFORE_EXTRA_CALL_MS
+        if self.clock.now() >= due:
+            self._start_call(CallKind.WATCH)
+        elif self._proof.age() < MAX_LIST_AGE_MS:
+            self.deadlines.set(due, self._check_call_due)
+
+    def _check_call_due(self) -> None:
+        if LAST_CALL_AGE_MS <= self._proof.age() < MAX_LIST_AGE_MS:
+            self._on_call_due()
+
     def _on_list(self, call: OpenCall, payload: bytes) -> None:
         """Parse a list and report it to the router. Raises EndpointListError."""
         self._apply_list(payload)
@@ -233,11 +262,14 @@
             self._needs_whole_list = False
         self._on_answer(call)
         if not self._calls.is_current(call) and not self._calls.current(CallKind.WATCH):
-            self._report_no_watch()  # the list has come from an obsolete call, so another call is still needed
+            # The list has come from an obsolete call, so another call is still needed.
+            self._report_no_watch(DiscoveryFailure(self._proof.age()))
 
     def _on_answer(self, call: OpenCall) -> None:
         """Record that the list is as current as a call can tell."""
         call.has_answered = True
+        if self._calls.is_current(call):
+            self._proof.renew()
         self._calls.cancel_superseded_by(call)
 
     def _next_backoff(self) -> float:
--- a/starlingthread/net/discovery/call.py
+++ b/starlingthread/net/discovery/call.py
@@ -12,7 +12,7 @@
 from ...core.deadlines import Deadline, Deadlines
 from ..late_timers import LATE_THRESHOLD_MS, is_handled_late
 from ..streams import open_stream
-from .errors import DiscoveryCallError
+from .errors import DiscoveryCallError, DiscoveryTimeoutError
 from .json_stream import JsonObjectSplitter
 
 CONNECT_TIMEOUT_MS = 1000.0  # time limit for connecting, as a host that is down does not answer at all
@@ -143,7 +143,7 @@
         except asyncio.CancelledError:
             if not idle_timer.expired:
                 raise
-            raise DiscoveryCallError("no connection to discovery or no data from it within the timeout") from None
+            raise DiscoveryTimeoutError("no connection to discovery or no data from it within the timeout") from None
         finally:
             idle_timer.stop()
             if writer is not None:
--- a/starlingthread/net/discovery/errors.py
+++ b/starlingthread/net/discovery/errors.py
@@ -9,3 +9,7 @@
 
 class DiscoveryCallError(Exception):
     """A call to discovery failed: a timeout, an HTTP error status or a premature end. The text is the reason."""
+
+
+class DiscoveryTimeoutError(DiscoveryCallError):
+    """Discovery did not accept a call or sent no data for too long, so that this process has ended the call."""
--- a/starlingthread/policy/balancer.py
+++ b/starlingthread/policy/balancer.py
@@ -136,7 +136,7 @@
             self.dispatcher.dispatch(now, state, step)
 
     def _on_endpoint_list(self, now: float, event: EndpointList) -> None:
-        self.polling.on_list(now, event.kind)
+        self.polling.on_list(now, event)
         if event.kind != EndpointListKind.FAILED:
             self.fleet.apply_endpoint_list(now, event)
 
