Hand the endpoint list of the old process of an upgrade to the new one

Cause: the old process handed over sockets, limits and possible executions, but not its endpoint list; the new one served with the older list of its configuration. Ruled out: a question to discovery that comes too late (it is asked at once), or a list that gets lost (none comes). Change: the new process asks for the list over the channel of the handover and gets it, with its age, before it accepts clients, and each later one until discovery has answered it (handover/endpoint_exchange.py). DiscoveryActor keeps the listed endpoints in a table of its own instead of their ids. An earlier version ignores the question, and fields it does not know. Why it works: what the old process was told is in the new one's decision module before the first request is; a list from discovery replaces it.

--- a/starlingthread/handover/actor.py
+++ b/starlingthread/handover/actor.py
@@ -13,6 +13,7 @@
 from ..core.task_supervisor import TaskSupervisor
 from ..logs import log
 from .channel import MAX_LINE_BYTES, HandoverListener, HandoverStatus, InheritedSockets, send_offer
+from .endpoint_exchange import EndpointExchange
 from .execution_exchange import ExecutionExchange
 
 # A new process waits at most this long for the old one to send which requests may have run.
@@ -49,9 +50,11 @@
         folder: Path | None,
         inherited: InheritedSockets | None,
         executions: ExecutionExchange | None = None,
+        endpoints: EndpointExchange | None = None,
     ) -> None:
         self.process = process
         self._executions = executions
+        self._endpoints = endpoints
         self._executions_received = asyncio.Event()
         self.supervisor = supervisor
         self.counters = counters
@@ -74,6 +77,8 @@
         self.supervisor.start(
             self._read_predecessor_status(reader), "handover-predecessor", lambda _: self._on_predecessor_exited()
         )
+        if self._endpoints is not None:
+            self._endpoints.request(self._predecessor)  # the answer precedes that to the next question
         if self._executions is not None:
             await self._request_executions(self._predecessor, self._executions)
 
@@ -97,8 +102,7 @@
         try:
             while line := await reader.readline():
                 status = msgspec.json.decode(line, type=HandoverStatus)
-                if self._executions is not None:
-                    self._executions.apply(status, self._predecessor)
+                self._apply(status, self._predecessor)
                 if status.executions_complete:
                     self._executions_received.set()
         except (OSError, ValueError, msgspec.MsgspecError) as error:
@@ -113,9 +117,17 @@
             self._predecessor = None
             self._double_resource_share("predecessor-exited")
 
+    def _apply(self, status: HandoverStatus, source: asyncio.StreamWriter | None) -> None:
+        if self._executions is not None:
+            self._executions.apply(status, source)
+        if self._endpoints is not None:
+            self._endpoints.apply(status, source)
+
     def _detach(self, channel: asyncio.StreamWriter) -> None:
         if self._executions is not None:
             self._executions.detach(channel)
+        if self._endpoints is not None:
+            self._endpoints.detach(channel)
 
     def _double_resource_share(self, log_event: str) -> None:
         self.resource_share = min(1.0, self.resource_share * 2)
@@ -176,10 +188,9 @@
         try:
             while line := await reader.readline():
                 status = msgspec.json.decode(line, type=HandoverStatus)
-                if self._executions is not None:
-                    self._executions.apply(status, self._successor)
-                    if status.wants_executions:
-                        self._executions.attach(self._successor)
+                self._apply(status, self._successor)
+                if self._executions is not None and status.wants_executions:
+                    self._executions.attach(self._successor)
                 if status.serving and not self.has_handed_over:
                     self.has_handed_over = True
                     log.info("handed-over")
--- a/starlingthread/handover/channel.py
+++ b/starlingthread/handover/channel.py
@@ -14,7 +14,7 @@
 import socket
 from collections.abc import Iterator
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import msgspec
 
@@ -43,6 +43,14 @@
     sent_at_s: float | None  # The time of the system's monotonic clock; None: so long ago that it is not known.
 
 
+class EndpointListEnd(msgspec.Struct, frozen=True):
+    """The end of an endpoint list."""
+
+    version: int
+    # When discovery last showed that the list is current, as a time of the system's monotonic clock; None: never.
+    proved_at_s: float | None
+
+
 class HandoverStatus(msgspec.Struct, frozen=True, omit_defaults=True):
     """Each later message, from either process. Earlier versions ignore the fields that they do not know."""
 
@@ -51,6 +59,10 @@
     executed: list[ExecutionRecord] = []  # Attempts that may have been executed.
     disproved: list[ExecutionRecord] = []  # Attempts of earlier messages that turned out never to have been executed.
     executions_complete: bool = False  # All executions that the old process knows were sent.
+    wants_endpoints: bool = False  # The new process asks for the endpoint list of the old one, and for later ones.
+    endpoints: list[dict[str, Any]] = []  # Entries of the endpoint list in discovery's form.
+    endpoint_list_end: EndpointListEnd | None = None  # All entries of the list were sent.
+    has_endpoints: bool = False  # Discovery has answered the new process, which needs no more lists.
 
 
 class InheritedSockets(NamedTuple):
--- a/starlingthread/net/discovery/actor.py
+++ b/starlingthread/net/discovery/actor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 from random import Random
 from typing import NamedTuple, TypeAlias, assert_never
 
@@ -12,11 +13,13 @@
 from ...core.messages import EndpointsReceived
 from ...core.router import Router
 from ...core.task_supervisor import TaskSupervisor
-from ...events import DiscoveryFailure, EndpointList, EndpointListKind, ServerState
+from ...events import DiscoveryFailure, EndpointList, EndpointListKind
+from ...handover.endpoint_exchange import EndpointSnapshot
 from ...limits.list_age import LAST_CALL_AGE_MS, MAX_LIST_AGE_MS
 from ...logs import log
 from .call import DiscoveryCall, PollResponse, WatchResponse
 from .endpoint_list import EndpointListParser
+from .endpoint_table import EndpointTable
 from .errors import DiscoveryCallError, DiscoveryTimeoutError, EndpointListError
 from .list_proof import ListProof
 from .open_calls import CallKind, OpenCall, OpenCalls
@@ -80,7 +83,9 @@
         self.watch_wanted = False  # True while the router wants to be notified of changes
         self._needs_whole_list = True  # whether changes alone would not bring the list up to date
         self._are_calls_obsolete = False  # whether an index has changed since the open calls have started
-        self._listed_ids: set[int] = set()  # ids of the servers in the router's list
+        self._has_answered = False  # whether discovery has sent a list to this process
+        self.on_list: Callable[[], None] = lambda: None  # called after each list from discovery
+        self._table = EndpointTable()
         self._calls = OpenCalls()
         self._proof = ListProof(self.clock, self.deadlines, self._on_call_due)
         self._consecutive_failures = 0
@@ -89,7 +94,7 @@
     @property
     def endpoint_count(self) -> int:
         """Number of servers in the router's list, draining ones included."""
-        return len(self._listed_ids)
+        return len(self._table)
 
     def apply_settings(self, zones: tuple[str, ...], server_kinds: tuple[str, ...], lists_pushed: bool = False) -> None:
         """Apply changed settings. The whole list is fetched again if the index of a zone or kind has changed."""
@@ -101,16 +106,35 @@
     def server_id(self, name: str) -> int | None:
         """Return the id of a listed server, or None if no server of that name is listed."""
         assigned_id = self.parser.ids.lookup(name)
-        return assigned_id if assigned_id in self._listed_ids else None
+        return assigned_id if assigned_id is not None and assigned_id in self._table else None
 
     def load_cached_list(self, raw: object) -> None:
         """Report the endpoint list that is cached in the configuration. Raises EndpointListError."""
         received = self.parser.parse(raw, EndpointListKind.CACHED)
         self.version = received.event.version
         self._needs_whole_list = False
-        self._listed_ids = {endpoint.server for endpoint in received.event.endpoints}
+        self._table.apply(received)
         self.router.mailbox.force_put(received)
 
+    def snapshot(self) -> EndpointSnapshot | None:
+        """Return the router's list for another process of this router; None if it has none."""
+        if not self._table:
+            return None
+        return EndpointSnapshot(self.version, self._proof.proved_at, self._table.to_entries(self.parser))
+
+    def inherit(self, snapshot: EndpointSnapshot) -> None:
+        """Use the list of another process of this router, unless discovery has sent one to this process."""
+        if self._has_answered:
+            return
+        raw = {"index": snapshot.version, "snapshot": True, "endpoints": snapshot.entries}
+        try:
+            self.load_cached_list(raw)
+        except EndpointListError as error:
+            log.warning("handover-endpoints-invalid", reason=str(error))
+            return
+        if snapshot.proved_at is not None:
+            self._proof.inherit(snapshot.proved_at)
+
     def watch(self, active: bool) -> None:
         """Start or stop watching for changes."""
         self.watch_wanted = active
@@ -295,11 +319,13 @@
             )
         self.version = event.version
         self._needs_whole_list = self._needs_whole_list and event.kind == EndpointListKind.DELTA
-        self._update_listed_ids(event)
-        self.parser.ids.retain(self._listed_ids)
+        self._table.apply(received)
+        self.parser.ids.retain(self._table.ids())
+        self._has_answered = True
         self._consecutive_failures = 0
         self.counters.increment("discovery.lists")
         self.router.mailbox.force_put(received)
+        self.on_list()
 
     def _parse_json(self, payload: bytes) -> object:
         try:
@@ -308,9 +334,3 @@
             self.counters.increment("discovery.bad_json")
             raise EndpointListError(f"invalid JSON: {error}") from None
         return raw
-
-    def _update_listed_ids(self, event: EndpointList) -> None:
-        removed = {endpoint.server for endpoint in event.endpoints if endpoint.state == ServerState.GONE}
-        present = {endpoint.server for endpoint in event.endpoints} - removed
-        is_delta = event.kind == EndpointListKind.DELTA
-        self._listed_ids = (self._listed_ids | present) - removed if is_delta else present
--- a/starlingthread/net/discovery/list_proof.py
+++ b/starlingthread/net/discovery/list_proof.py
@@ -39,6 +39,15 @@
         if self._timer is None:
             self._schedule(self._proved_at + LAST_CALL_AGE_MS)
 
+    def inherit(self, proved_at: float) -> None:
+        """Take over the last proof (clock time) of another process of this router."""
+        self._proved_at = max(self._proved_at, proved_at)
+
+    @property
+    def proved_at(self) -> float | None:
+        """Clock time (ms) of the last proof; None without one."""
+        return self._proved_at if math.isfinite(self._proved_at) else None
+
     def _schedule(self, due: float) -> None:
         self._timer = self._deadlines.set(due, lambda: self._check(due))
 
--- a/starlingthread/net/discovery/server_ids.py
+++ b/starlingthread/net/discovery/server_ids.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 
 ID_BYTES = 4
 
@@ -20,6 +20,10 @@
         self._by_name = {name: server_id for name, server_id in self._by_name.items() if server_id in server_ids}
         self._assigned = set(self._by_name.values())
 
+    def items(self) -> Iterable[tuple[str, int]]:
+        """Return the names and their ids."""
+        return self._by_name.items()
+
     def lookup(self, name: str) -> int | None:
         """Return the id of a name, or None if it was not assigned or not retained."""
         return self._by_name.get(name)
--- a/starlingthread/router_process/process.py
+++ b/starlingthread/router_process/process.py
@@ -14,6 +14,7 @@
 from ..core.task_supervisor import TaskSupervisor
 from ..handover.actor import Handover
 from ..handover.channel import InheritedSockets
+from ..handover.endpoint_exchange import EndpointExchange
 from ..handover.execution_exchange import ExecutionExchange
 from ..logs import LogWriter, log
 from ..net.management import ManagementServer
@@ -70,7 +71,9 @@
             self.actors, self._management, self.configuration, self.supervisor, self.stop_requested, self._on_failure
         )
         executions = ExecutionExchange(router.balancer.fleet.executions, router.clock)
-        self._handover = Handover(resources, self.supervisor, self.counters, folder, inherited, executions)
+        endpoints = EndpointExchange(self.actors.discovery, router.clock)
+        self.actors.discovery.on_list = endpoints.on_list
+        self._handover = Handover(resources, self.supervisor, self.counters, folder, inherited, executions, endpoints)
         resources.apply_resource_share(self._handover.resource_share)
 
     async def run(self) -> int:
