Move what is known of the endpoint list, and the fields of a request, to own modules

Change: net/discovery/known_list.py keeps the list, its version and whether it has to be fetched whole; net/clients/request_fields.py has the hashes, numbers and the identity of a request. Two tests called a private method of the actor; they now hand it a list as that of a call.

--- a/starlingthread/net/clients/__init__.py
+++ b/starlingthread/net/clients/__init__.py
@@ -3,6 +3,6 @@
 from .connection import ClientConnectionActor
 from .draining import DrainLimits
 from .listener import ClientListener
-from .requests import key_hash
+from .request_fields import key_hash
 
 __all__ = ["ClientConnectionActor", "ClientListener", "DrainLimits", "key_hash"]
--- a/starlingthread/net/clients/requests.py
+++ b/starlingthread/net/clients/requests.py
@@ -3,41 +3,22 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 from ...core.messages import Answer, BodyReceived, ClientDisconnected, DeadlinePassed, PendingRequest, Rejected, Served
 from ...core.pipe import Pipe
-from ...settings import Idempotency, RequestClass
+from ...settings import RequestClass
 from .. import meta
 from ..streams import has_open_window
 from .class_history import ClassHistory
 from .context import ConnectionState, ListenerContext
 from .limits import MAX_MALFORMED_COMMANDS, REQUEST_OVERHEAD_BYTES, RESPONSE_MARGIN_MS, VALUE_TIMEOUT_MS
+from .request_fields import key_hash, number_field, request_identity
 from .responses import ResponseQueue, ResponseSlot
 from .value_arrival import ValueArrival
 
 
-def key_hash(key: bytes) -> int:
-    """Return the 64-bit hash of a key: the same at every router, and never 0, which stands for no key."""
-    return int.from_bytes(hashlib.blake2b(key, digest_size=8).digest(), "big") or 1
-
-
-def _number_field(fields: dict[str, str], name: str) -> float:
-    """Return the value of a numeric field of a command; 0 if it is absent or malformed."""
-    text = fields.get(name, "")
-    return float(text) if meta.NUMBER_PATTERN.fullmatch(text) else 0.0
-
-
-def request_identity(command: meta.Command, request_class: RequestClass) -> int:
-    """Return what tells whether a request has come before; 0 if it may run any number of times."""
-    if request_class.idempotency == Idempotency.IDEMPOTENT:
-        return 0
-    idempotency_key = command.fields.get("k", "") if request_class.idempotency == Idempotency.IDEMPOTENCY_KEY else ""
-    return key_hash(b"k" + idempotency_key.encode() if idempotency_key else b"O" + command.request_id)
-
-
 class ClientInput(Protocol):
     """The input of a client connection, in which bytes are counted from the first one."""
 
@@ -198,8 +179,8 @@
             command,
             now,
             body=body,
-            size=_number_field(command.fields, "size"),
-            cost_hint=_number_field(command.fields, "h"),
+            size=number_field(command.fields, "size"),
+            cost_hint=number_field(command.fields, "h"),
             is_retry=command.fields.get("r") == "1",
             is_write=command.is_write,
             identity=identity,
--- a/starlingthread/net/discovery/actor.py
+++ b/starlingthread/net/discovery/actor.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable
 from random import Random
 from typing import NamedTuple, TypeAlias, assert_never
@@ -19,8 +18,8 @@
 from ...logs import log
 from .call import DiscoveryCall, PollResponse, WatchResponse
 from .endpoint_list import EndpointListParser
-from .endpoint_table import EndpointTable
 from .errors import DiscoveryCallError, DiscoveryTimeoutError, EndpointListError
+from .known_list import KnownList
 from .list_proof import ListProof
 from .open_calls import CallKind, OpenCall, OpenCalls
 
@@ -79,52 +78,49 @@
         self.counters = router.counters
         self.deadlines = router.deadlines
         self.mailbox: Mailbox[Message] = Mailbox(MAX_MAILBOX_MESSAGES)
-        self.version = 0  # version of the router's list; 0: none
         self.watch_wanted = False  # True while the router wants to be notified of changes
-        self._needs_whole_list = True  # whether changes alone would not bring the list up to date
         self._are_calls_obsolete = False  # whether an index has changed since the open calls have started
-        self._has_answered = False  # whether discovery has sent a list to this process
         self.on_list: Callable[[], None] = lambda: None  # called after each list from discovery
-        self._table = EndpointTable()
+        self._known = KnownList(parser, self.counters)
         self._calls = OpenCalls()
         self._proof = ListProof(self.clock, self.deadlines, self._on_call_due)
         self._consecutive_failures = 0
         self._rng = Random()
 
+    @property
+    def version(self) -> int:
+        """Version of the router's list; 0: none."""
+        return self._known.version
+
     @property
     def endpoint_count(self) -> int:
         """Number of servers in the router's list, draining ones included."""
-        return len(self._table)
+        return len(self._known)
 
     def apply_settings(self, zones: tuple[str, ...], server_kinds: tuple[str, ...], lists_pushed: bool = False) -> None:
         """Apply changed settings. The whole list is fetched again if the index of a zone or kind has changed."""
         self.lists_pushed = lists_pushed
         self.watch_wanted = self.watch_wanted or lists_pushed
-        if self.parser.set_names(zones, server_kinds):
-            self._needs_whole_list = self._are_calls_obsolete = True
+        if self._known.set_names(zones, server_kinds):
+            self._are_calls_obsolete = True
 
     def server_id(self, name: str) -> int | None:
         """Return the id of a listed server, or None if no server of that name is listed."""
-        assigned_id = self.parser.ids.lookup(name)
-        return assigned_id if assigned_id is not None and assigned_id in self._table else None
+        return self._known.server_id(name)
 
     def load_cached_list(self, raw: object) -> None:
         """Report the endpoint list that is cached in the configuration. Raises EndpointListError."""
-        received = self.parser.parse(raw, EndpointListKind.CACHED)
-        self.version = received.event.version
-        self._needs_whole_list = False
-        self._table.apply(received)
-        self.router.mailbox.force_put(received)
+        self.router.mailbox.force_put(self._known.load_cached(raw))
 
     def snapshot(self) -> EndpointSnapshot | None:
         """Return the router's list for another process of this router; None if it has none."""
-        if not self._table:
+        if not self._known:
             return None
-        return EndpointSnapshot(self.version, self._proof.proved_at, self._table.to_entries(self.parser))
+        return EndpointSnapshot(self.version, self._proof.proved_at, self._known.entries())
 
     def inherit(self, snapshot: EndpointSnapshot) -> None:
         """Use the list of another process of this router, unless discovery has sent one to this process."""
-        if self._has_answered:
+        if self._known.is_from_discovery:
             return
         raw = {"index": snapshot.version, "snapshot": True, "endpoints": snapshot.entries}
         try:
@@ -216,8 +212,8 @@
     def _start_call(self, kind: CallKind) -> None:
         if kind is CallKind.WATCH:
             self.counters.increment("discovery.watches")
-            call = self._calls.add(kind, self.clock.now(), self._needs_whole_list)
-            path = f"{LIST_PATH}?watch=1&after={0 if self._needs_whole_list else self.version}"
+            call = self._calls.add(kind, self.clock.now(), self._known.needs_whole_list)
+            path = f"{LIST_PATH}?watch=1&after={self._known.version_to_ask_after}"
         else:
             self.counters.increment("discovery.fetches")
             call = self._calls.add(kind, self.clock.now(), True)
@@ -281,10 +277,13 @@
 
     def _on_list(self, call: OpenCall, payload: bytes) -> None:
         """Parse a list and report it to the router. Raises EndpointListError."""
-        self._apply_list(payload)
+        received = self._known.apply(payload)
         if call.wants_whole_list and not call.has_answered:
-            self._needs_whole_list = False
+            self._known.needs_whole_list = False
+        self._consecutive_failures = 0
+        self.router.mailbox.force_put(received)
         self._on_answer(call)
+        self.on_list()
         if not self._calls.is_current(call) and not self._calls.current(CallKind.WATCH):
             # The list has come from an obsolete call, so another call is still needed.
             self._report_no_watch(DiscoveryFailure(self._proof.age()))
@@ -305,32 +304,3 @@
     def _retry_watch(self) -> None:
         if self.lists_pushed and self.watch_wanted:
             self.watch(True)
-
-    def _apply_list(self, payload: bytes) -> None:
-        """Parse a list and report it to the router. Raises EndpointListError."""
-        received = self.parser.parse(self._parse_json(payload))
-        event = received.event
-        if event.kind == EndpointListKind.DELTA and event.version < self.version:
-            known_version = self.version
-            self.version = 0
-            self._needs_whole_list = True  # discovery has restarted its version count
-            raise EndpointListError(
-                f"delta of version {event.version} is older than the list of version {known_version}"
-            )
-        self.version = event.version
-        self._needs_whole_list = self._needs_whole_list and event.kind == EndpointListKind.DELTA
-        self._table.apply(received)
-        self.parser.ids.retain(self._table.ids())
-        self._has_answered = True
-        self._consecutive_failures = 0
-        self.counters.increment("discovery.lists")
-        self.router.mailbox.force_put(received)
-        self.on_list()
-
-    def _parse_json(self, payload: bytes) -> object:
-        try:
-            raw: object = json.loads(payload)
-        except (ValueError, RecursionError) as error:
-            self.counters.increment("discovery.bad_json")
-            raise EndpointListError(f"invalid JSON: {error}") from None
-        return raw
--- a/tests/discovery_steps.py
+++ b/tests/discovery_steps.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from starlingthread.events import ServerState
-from starlingthread.net.discovery import LIST_PATH
+from starlingthread.net.discovery import LIST_PATH, DiscoveryActor
+from starlingthread.net.discovery.open_calls import CallKind
 
 from .peers import WATCH_HEADERS, Listener, Peer, RunningRouter, chunk
 
@@ -43,3 +44,10 @@
     harness.discovery = Listener()
     harness.discovery.accepted += old_address.accepted  # the old connections are closed with the new ones
     harness.program.actors.discovery.set_address(("127.0.0.1", harness.discovery.port))
+
+
+def receive_list(discovery: DiscoveryActor, payload: bytes) -> None:
+    """Make the client of discovery handle a list as that of a call."""
+    call = discovery._calls.add(CallKind.FETCH, discovery.clock.now(), wants_whole_list=True)
+    discovery._on_list(call, payload)
+    discovery._calls.remove(call)
--- a/tests/test_replaced_servers.py
+++ b/tests/test_replaced_servers.py
@@ -13,6 +13,7 @@
 from starlingthread.net.upstreams.messages import ConnectCompleted
 from starlingthread.net.upstreams.opener import PendingConnect
 
+from .discovery_steps import receive_list
 from .fakes import ServerActorHarness
 from .peers import Listener, Peer, RunningRouter, entry, listing, read_command, running_router, until, value_answer
 
@@ -22,7 +23,7 @@
 def tell_start(harness: RunningRouter, since_ms: float, full: bool) -> None:
     """Let discovery tell that the first server has started at a time (Unix ms)."""
     changed: dict[str, Any] = {**entry("s-1", harness.server.address), "since_ms": since_ms}
-    harness.program.actors.discovery._apply_list(listing(2, changed, full=full))
+    receive_list(harness.program.actors.discovery, listing(2, changed, full=full))
 
 
 async def replace(harness: RunningRouter) -> Listener:
--- a/tests/test_upgrade_endpoints.py
+++ b/tests/test_upgrade_endpoints.py
@@ -19,6 +19,7 @@
 from starlingthread.handover.endpoint_exchange import EndpointExchange
 from starlingthread.net.discovery import DiscoveryActor, EndpointListParser
 
+from .discovery_steps import receive_list
 from .peers import entry, listing, until
 from .router_harness import RouterHarness
 
@@ -42,8 +43,7 @@
 
     def receive(self, index: int, *entries: dict[str, Any], full: bool = True) -> None:
         """Receive a list from discovery."""
-        self.discovery._apply_list(listing(index, *entries, full=full))
-        self.discovery._proof.renew()
+        receive_list(self.discovery, listing(index, *entries, full=full))
 
     def lists(self) -> list[EndpointsReceived]:
         """Return the lists that the router has got since the last call."""
