Give the newest of three processes all of the limits once both others have ended

Callers saw (by reading, in the review): after two upgrades in quick succession the newest process kept half of the descriptors and memory for good. A shutdown that lasts while values make progress makes such overlaps more likely. Cause: when the first process exits only the second one doubles its share, and the third one's is still a half of the smaller one. Change: the second one tells its successor, which doubles its share as well (share_doubled). Result: test_the_last_of_three_processes_gets_all_of_the_limits; without the message the third process ends with 0.5.

--- a/starlingthread/handover/actor.py
+++ b/starlingthread/handover/actor.py
@@ -103,6 +103,8 @@
             while line := await reader.readline():
                 status = msgspec.json.decode(line, type=HandoverStatus)
                 self._apply(status, self._predecessor)
+                if status.share_doubled:
+                    self._double_resource_share("predecessor-share-doubled")
                 if status.executions_complete:
                     self._executions_received.set()
         except (OSError, ValueError, msgspec.MsgspecError) as error:
@@ -116,6 +118,8 @@
             self._predecessor.transport.abort()
             self._predecessor = None
             self._double_resource_share("predecessor-exited")
+            if self._successor is not None:
+                self._successor.write(msgspec.json.encode(HandoverStatus(share_doubled=True)) + b"\n")
 
     def _apply(self, status: HandoverStatus, source: asyncio.StreamWriter | None) -> None:
         if self._executions is not None:
--- a/starlingthread/handover/channel.py
+++ b/starlingthread/handover/channel.py
@@ -62,6 +62,7 @@
     wants_endpoints: bool = False  # The new process asks for the endpoint list of the old one, and for later ones.
     endpoints: list[dict[str, Any]] = []  # Entries of the endpoint list in discovery's form.
     endpoint_list_end: EndpointListEnd | None = None  # All entries of the list were sent.
+    share_doubled: bool = False  # The old process's own predecessor has exited, and its share is free for both.
     has_endpoints: bool = False  # Discovery has answered the new process, which needs no more lists.
 
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -98,6 +98,27 @@
     asyncio.run(run())
 
 
+def test_the_last_of_three_processes_gets_all_of_the_limits(tmp_path: Path) -> None:
+    """Guards against a router that keeps half of its limits, as an upgrade began before the one before it had ended."""
+
+    async def run() -> None:
+        first, second = await start_both(tmp_path)
+        second.handover.on_serving()
+        await until(lambda: "pause" in first.calls)
+        third = FakeProcess(tmp_path, await asyncio.to_thread(request_handover, tmp_path))
+        await third.handover.start()
+        await until(lambda: second.handover._successor is not None)
+        assert (second.handover.resource_share, third.handover.resource_share) == (0.25, 0.25)
+        second.handover._on_predecessor_exited()  # In a real upgrade the exit of the process causes this.
+        await until(lambda: third.handover.resource_share == second.handover.resource_share == 0.5)
+        third.handover._on_predecessor_exited()
+        assert third.calls == [0.5, 1.0]
+        for process in (third, second, first):
+            await process.close()
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("serves", [False, True])
 def test_an_old_process_serves_as_before_after_its_successor_crashed(tmp_path: Path, serves: bool) -> None:
     async def run() -> None:
