--- a/starlingthread/net/clients/draining.py
+++ b/starlingthread/net/clients/draining.py
@@ -69,7 +69,7 @@
     """Ends connections on which nothing moves: first their requests are failed, then they are aborted.
 
     A client may take bytes in large steps, as its system tells of free room only when there is much of it. So while it
-    has bytes to take the limit is that of any slow client.
+    has bytes to take the limit is that of any slow client, and no error answer would reach it after that.
     """
 
     def __init__(self, quiet_timeout: float, now: float) -> None:
@@ -95,10 +95,11 @@
         return _Quiet(progress, quiet.duration + interval)
 
     def _end_if_stalled(self, connection: DrainingConnection, quiet: _Quiet, interval: float) -> bool:
-        timeout = WRITE_STALL_TIMEOUT_MS if connection.awaits_client() else self._quiet_timeout
-        if quiet.duration >= timeout + FAIL_TIMEOUT_MS:
-            connection.abort()
+        awaits_client = connection.awaits_client()
+        timeout = WRITE_STALL_TIMEOUT_MS if awaits_client else self._quiet_timeout
         has_stalled_now = timeout <= quiet.duration < timeout + interval
         if has_stalled_now:
             connection.fail_requests()
+        if quiet.duration >= timeout + (0.0 if awaits_client else FAIL_TIMEOUT_MS):
+            connection.abort()
         return has_stalled_now
