Let the last request of a connection keep its time during a shutdown

Cause: before the earliest SIGKILL all open requests of a connection with several responses were failed, so that what waits behind them is answered; the last one too, behind which nothing waits. Change: only requests with another response behind them are failed, or with all slots in use, when commands may wait without one.

--- a/starlingthread/net/clients/connection.py
+++ b/starlingthread/net/clients/connection.py
@@ -198,14 +198,11 @@
         return self._response_writer.undelivered_bytes() > 0
 
     def fail_blocking_requests(self) -> None:
-        """Answer open requests as failed if other responses wait behind them.
-
-        Nothing waits behind a request whose value is still being received.
-        """
-        if len(self.responses.slots) > 1:
-            for request in list(self.requests.slots_by_request):
-                if not request.is_receiving:
-                    self.listener.router.fail(request)
+        """Answer open requests as failed if other responses, or commands without a slot, wait behind them."""
+        slots = self.responses.slots
+        for request, slot in list(self.requests.slots_by_request.items()):
+            if slot is not slots[-1] or (self.responses.is_full() and not request.is_receiving):
+                self.listener.router.fail(request)
 
     def fail_requests(self) -> None:
         """Answer all open requests as failed."""
--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -57,26 +57,36 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("is_behind", [False, True])
 def test_a_late_request_is_answered_though_one_from_before_the_shutdown_hangs(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, is_behind: bool
 ) -> None:
-    """Guards against an answer that is ready and never sent, behind a request whose deadline is after the SIGKILL."""
+    """Guards against an answer that is ready and never sent, behind a request whose deadline is after the SIGKILL.
+
+    Nothing waits behind the last request of a connection, so it keeps its time.
+    """
     monkeypatch.setattr(shutdown, "ACCEPT_AFTER_STOP_S", 0.0)
 
     async def scenario() -> None:
         async with running_router(tmp_path) as harness:
-            client, _ = await request_in_flight(harness)
+            client, hanging_server = await request_in_flight(harness)
             harness.program.stop_requested.set()
             await until(lambda: harness.program.actors.clients._accept_loop is None)
-            await client.send(read_command(2))
-            late_server = await harness.server.accept()
-            await late_server.until(b"\r\n")
-            await late_server.send(value_answer(2))
-            await until(lambda: harness.counters["answers.served"] == 1)
+            if is_behind:
+                await client.send(read_command(2))
+                late_server = await harness.server.accept()
+                await late_server.until(b"\r\n")
+                await late_server.send(value_answer(2))
+                await until(lambda: harness.counters["answers.served"] == 1)
             lifetime_ms = shutdown.MAX_DEADLINE_MS + shutdown.EXTRA_LIFETIME_MS
             harness.router.clock._base += lifetime_ms - shutdown.ANSWER_MARGIN_MS
             harness.router.mailbox.wake()
-            assert await client.read_to_eof() == b"SERVER_ERROR failed\r\nVA 1 O2\r\nx\r\n"
+            if is_behind:
+                assert await client.read_to_eof() == b"SERVER_ERROR failed\r\nVA 1 O2\r\nx\r\n"
+            else:
+                await run_loop_turns()
+                await hanging_server.send(value_answer(1))
+                assert await client.read_to_eof() == b"VA 1 O1\r\nx\r\n"
 
     asyncio.run(scenario())
 
