--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -29,6 +29,7 @@
     "core_overload",
     "slow_start",
     "machine_speed",
+    "list_age",
 }
 BALANCE = {"key", "load", "popularity", "rendezvous"}
 ALLOWED = {
@@ -62,7 +63,12 @@
 
 
 @pytest.mark.parametrize(
-    "name", [*FILES, *(f"starlingthread/state/{n}.py" for n in ("executions", "fleet", "records"))]
+    "name",
+    [
+        *FILES,
+        *(f"starlingthread/state/{n}.py" for n in ("executions", "fleet", "records")),
+        "starlingthread/limits/list_age.py",
+    ],
 )
 def test_the_module_keeps_no_state_and_no_clock_of_its_own(name: str) -> None:
     tree = ast.parse((ROOT / name).read_text())
