Do not wait for clients that have vanished at a close, nor pile up lists for a slow successor

After our end of file a client whose system is gone acknowledges nothing, so it was waited for 10 s, also in a shutdown, where it was 0.5 s; and each change of the list was written to a successor that had not read the one before. Change: our end of file does not count as a byte that the client has to take; the next list is sent once the one before it was read. Result: test_lingering_ends_though_the_client_never_closes with an end of file that is never acknowledged; tests/test_lingering_close.py and test_upgrade_endpoints.py pass.

--- a/starlingthread/handover/endpoint_exchange.py
+++ b/starlingthread/handover/endpoint_exchange.py
@@ -66,9 +66,8 @@
         if self._predecessor is not None:
             self._predecessor.write(msgspec.json.encode(HandoverStatus(has_endpoints=True)) + b"\n")
             self._predecessor = None
-        if self._successor is not None and not self._is_resend_scheduled:
-            self._is_resend_scheduled = True
-            asyncio.get_running_loop().call_later(RESEND_INTERVAL_S, self._send)
+        if self._successor is not None:
+            self._schedule_send()
 
     def apply(self, status: HandoverStatus, source: asyncio.StreamWriter | None) -> None:
         """Handle a message of the other process."""
@@ -84,11 +83,19 @@
             proved_at = None if end.proved_at_s is None else self._clock.from_loop_time(end.proved_at_s)
             self._lists.inherit(EndpointSnapshot(end.version, proved_at, entries))
 
+    def _schedule_send(self) -> None:
+        if not self._is_resend_scheduled:
+            self._is_resend_scheduled = True
+            asyncio.get_running_loop().call_later(RESEND_INTERVAL_S, self._send)
+
     def _send(self) -> None:
         self._is_resend_scheduled = False
         snapshot = self._lists.snapshot()
         if self._successor is None or snapshot is None:
             return
+        if self._successor.transport.get_write_buffer_size():
+            self._schedule_send()  # the list before has not been read yet
+            return
         entries = snapshot.entries
         batches = [entries[at : at + MAX_ENTRIES_PER_LINE] for at in range(0, len(entries), MAX_ENTRIES_PER_LINE)]
         proved_at_s = None if snapshot.proved_at is None else self._clock.to_loop_time(snapshot.proved_at)
--- a/starlingthread/net/clients/closing.py
+++ b/starlingthread/net/clients/closing.py
@@ -11,6 +11,9 @@
 from .context import ConnectionState, ListenerContext
 from .limits import LINGER_TIMEOUT_MS, MAX_LINGER_BYTES, READ_BYTES, WRITE_STALL_TIMEOUT_MS
 
+# What our end of file adds to the bytes that a client's system has not taken.
+END_OF_FILE_BYTES = 1
+
 
 class LingerTimer:
     """Aborts a connection some time after our end of file, once its client has taken all responses or has stalled.
@@ -40,7 +43,7 @@
         if undelivered_bytes < self._undelivered_bytes:
             self._undelivered_bytes = undelivered_bytes
             self._progressed_at = now
-        elif not undelivered_bytes or now - self._progressed_at >= WRITE_STALL_TIMEOUT_MS:
+        elif undelivered_bytes <= END_OF_FILE_BYTES or now - self._progressed_at >= WRITE_STALL_TIMEOUT_MS:
             self._writer.transport.abort()
             return
         self._deadline = self._schedule()
--- a/tests/test_lingering_close.py
+++ b/tests/test_lingering_close.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from starlingthread.net.clients import limits
+from starlingthread.net.clients import closing, limits
 
 from .peers import (
     WAIT_TIMEOUT_S,
@@ -84,7 +84,13 @@
     asyncio.run(scenario())
 
 
-def test_lingering_ends_though_the_client_never_closes(tmp_path: Path) -> None:
+@pytest.mark.parametrize("undelivered_bytes", [0, closing.END_OF_FILE_BYTES])
+def test_lingering_ends_though_the_client_never_closes(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, undelivered_bytes: int
+) -> None:
+    """Also if its system has vanished, so that not even our end of file is acknowledged."""
+    monkeypatch.setattr(closing, "unacknowledged_bytes", lambda _: undelivered_bytes)
+
     async def scenario() -> None:
         async with running_router(tmp_path) as harness:
             client = await idle_client(harness)
